--- /dev/null
+++ b/clamp/types.go
@@ -0,0 +1,192 @@
+// Package clamp is consensus (Raft): leader election with PreVote and
+// CheckQuorum, pipelined log replication, ReadIndex, learners, single-server
+// membership change, snapshots and leadership transfer.
+//
+// A Node does no input or output and has no goroutine. Time and messages come
+// in through Tick, Step and Propose; Ready hands out what is to be written to
+// disk, sent and applied. What must not be sent before the write is durable is
+// kept apart from what may go at once, so that a slow disk holds up only its
+// own promises.
+package clamp
+
+import "time"
+
+// Member is one node of the group. ID belongs to one life of one disk.
+type Member struct {
+	ID   uint64
+	Addr string // where its peers reach it
+	API  string // where its callers reach it
+}
+
+// Membership is who votes and who only follows.
+type Membership struct {
+	Voters   []Member
+	Learners []Member
+}
+
+// Voter tells whether id votes.
+func (m Membership) Voter(id uint64) bool { return find(m.Voters, id) >= 0 }
+
+// Has tells whether id is a member at all.
+func (m Membership) Has(id uint64) bool { return m.Voter(id) || find(m.Learners, id) >= 0 }
+
+// All gives voters and learners.
+func (m Membership) All() []Member {
+	return append(append([]Member(nil), m.Voters...), m.Learners...)
+}
+
+func find(ms []Member, id uint64) int {
+	for i := range ms {
+		if ms[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func without(ms []Member, id uint64) []Member {
+	out := make([]Member, 0, len(ms))
+	for _, m := range ms {
+		if m.ID != id {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// WithLearner gives the membership in which m only follows.
+func (m Membership) WithLearner(x Member) Membership {
+	return Membership{Voters: without(m.Voters, x.ID), Learners: append(without(m.Learners, x.ID), x)}
+}
+
+// WithVoter gives the membership in which m votes.
+func (m Membership) WithVoter(x Member) Membership {
+	return Membership{Voters: append(without(m.Voters, x.ID), x), Learners: without(m.Learners, x.ID)}
+}
+
+// Without gives the membership that id has left.
+func (m Membership) Without(id uint64) Membership {
+	return Membership{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
+}
+
+// EntryType tells commands from changes of membership.
+type EntryType uint8
+
+// The kinds of entry.
+const (
+	Normal EntryType = iota
+	Change
+)
+
+// Entry is one place in the log.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Type  EntryType
+	Data  []byte
+}
+
+// HardState must be durable before anything that relies on it is sent.
+type HardState struct {
+	Term uint64
+	Vote uint64
+}
+
+// Snapshot stands for all entries up to Index.
+type Snapshot struct {
+	Index   uint64
+	Term    uint64
+	Members Membership
+	Data    []byte
+}
+
+// MessageType names a message.
+type MessageType uint8
+
+// The messages between nodes.
+const (
+	MsgPreVote MessageType = iota + 1
+	MsgPreVoteResp
+	MsgVote
+	MsgVoteResp
+	MsgAppend
+	MsgAppendResp
+	MsgHeartbeat
+	MsgHeartbeatResp
+	MsgSnapshot
+	MsgTimeoutNow
+)
+
+// Message is what one node tells another.
+type Message struct {
+	Type    MessageType
+	From    uint64
+	To      uint64
+	Term    uint64
+	Index   uint64 // of the entry before Entries, or the last one held
+	LogTerm uint64
+	Commit  uint64
+	Reject  bool
+	Hint    uint64
+	Context uint64
+	Force   bool // a vote asked for by the leader itself
+	Entries []Entry
+	Snap    *Snapshot
+}
+
+// Role is what a node is at the moment.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+func (r Role) String() string {
+	return [...]string{"follower", "precandidate", "candidate", "leader"}[r]
+}
+
+// Config tells a node who it is and how patient to be.
+type Config struct {
+	ID        uint64
+	Heartbeat time.Duration
+	Election  time.Duration // shortest; the longest is twice that
+	Rand      func(n int64) int64
+	MaxBatch  int // bytes of entries in one message
+}
+
+// Saved is what a node finds on its disk.
+type Saved struct {
+	Hard     HardState
+	Snapshot Snapshot
+	Entries  []Entry
+}
+
+// Read is a ReadIndex request that the quorum has confirmed: state applied up
+// to Index answers it. OK is false when this node lost its leadership.
+type Read struct {
+	Context uint64
+	Index   uint64
+	OK      bool
+}
+
+// Write is a batch for the disk. Carry it out in order; once it is durable,
+// send After and call Persisted with its last entry.
+type Write struct {
+	Hard     *HardState
+	Snapshot *Snapshot
+	Entries  []Entry // replace all from the first one's index on
+	After    []Message
+}
+
+// Effects is what a node wants done.
+type Effects struct {
+	Send      []Message // at once
+	Write     *Write
+	Install   *Snapshot // replace the state machine by this, before Committed
+	Committed []Entry
+	Reads     []Read
+}
--- /dev/null
+++ b/cmd/router/main.go
@@ -0,0 +1,64 @@
+// Command router is the proxy node: it takes requests from clients and sends
+// them to the endpoints that the registry knows.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"lichentray/internal/caliper"
+	"lichentray/internal/daemon"
+	"lichentray/internal/dial"
+	"lichentray/internal/hatch"
+	"lichentray/internal/plane"
+	"lichentray/jig"
+)
+
+func main() { os.Exit(daemon.Main("router", "the proxy node", run)) }
+
+func run(path string, set *caliper.Settings, log *slog.Logger, sig *daemon.Signals) error {
+	if set.Listen.Frontend == "" || set.Listen.Readiness == "" {
+		return errors.New("listen_addresses: frontend or readiness missing, router serves edge")
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * 0.7 * (1 << 20)))
+	debug.SetGCPercent(75)
+	if err := jig.Warm(); err != nil {
+		return err
+	}
+	board := dial.NewBoard()
+	p := plane.New(set, log, board)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	readiness, err := net.Listen("tcp4", set.Listen.Readiness)
+	if err != nil {
+		return fmt.Errorf("readiness: %w", err)
+	}
+	frontend, err := net.Listen("tcp4", set.Listen.Frontend)
+	if err != nil {
+		return fmt.Errorf("frontend: %w", err)
+	}
+	failed := make(chan error, 2)
+	go func() { failed <- hatch.Server(p.Readiness, 64<<10).Serve(readiness) }()
+	front := plane.NewFront(p, frontend)
+	go func() { failed <- front.Run() }()
+	go p.Follow(ctx)
+	for {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("listener ended: %w", err)
+		case s := <-sig.Changed:
+			p.SetSeeds(s.Seeds)
+		case <-sig.Stop:
+			log.Info("stopping")
+			front.Stop(set.Bounds.GracePeriod.D())
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/cmd/vise/main.go
@@ -0,0 +1,67 @@
+// Command vise is the control-plane node: it holds the registry and serves the
+// operator, the endpoints, the applications and the proxy nodes.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"lichentray/internal/caliper"
+	"lichentray/internal/daemon"
+	"lichentray/internal/dial"
+	"lichentray/internal/hatch"
+	"lichentray/internal/lathe"
+)
+
+func main() { os.Exit(daemon.Main("vise", "the control-plane node", run)) }
+
+func run(path string, set *caliper.Settings, log *slog.Logger, sig *daemon.Signals) error {
+	if set.Listen.Control == "" {
+		return errors.New("listen_addresses.control_plane: missing, vise serves control")
+	}
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * 0.7 * (1 << 20)))
+	debug.SetGCPercent(75)
+	board := dial.NewBoard()
+	node, err := lathe.Start(set, log, board)
+	if err != nil {
+		return err
+	}
+	defer node.Close()
+	api := hatch.NewAPI(node, board, set.Bounds.HistoryRetention.D())
+	srv := hatch.Server(api.Serve, 16<<20)
+	ln, err := net.Listen("tcp4", set.Listen.Control)
+	if err != nil {
+		return fmt.Errorf("control_plane: %w", err)
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- srv.Serve(ln) }()
+	for {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("control_plane: %w", err)
+		case s := <-sig.Changed:
+			node.SetSeeds(s.Seeds)
+		case <-sig.Stop:
+			grace := set.Bounds.GracePeriod.D()
+			log.Info("stopping")
+			node.Resign(grace / 6)
+			done := make(chan struct{})
+			go func() {
+				_ = srv.Shutdown() // whatever is left ends with the process
+				close(done)
+			}()
+			select {
+			case <-done:
+			case <-time.After(grace / 3):
+			}
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/caliper/caliper.go
@@ -0,0 +1,209 @@
+// Package caliper reads and checks a process's settings (configuration
+// loading and validation).
+package caliper
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// EnvPath names the variable that holds the path of the settings file.
+const EnvPath = "LICHENTRAY_CONFIG"
+
+// DefaultPath is where the settings file stands when the variable is unset.
+const DefaultPath = "/etc/lichentray/node.toml"
+
+//go:embed settings.schema.json
+var schemaText []byte
+
+// Seconds is a time in seconds, with fractions.
+type Seconds float64
+
+// D is the time as a duration.
+func (s Seconds) D() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+
+// Limits are what one process may use.
+type Limits struct {
+	CPUShare      float64 `toml:"cpu_share"`
+	CPUCores      float64 `toml:"cpu_cores"`
+	MemoryMB      float64 `toml:"memory_mb"`
+	MaxOpenFiles  int     `toml:"max_open_files"`
+	BandwidthMbps float64 `toml:"bandwidth_mbps"`
+	DiskMB        float64 `toml:"disk_mb"`
+}
+
+// Bounds are the figures of the rules.
+type Bounds struct {
+	SeedLag          Seconds `toml:"seed_lag_s"`
+	AddressReuse     Seconds `toml:"address_reuse_s"`
+	Contact          Seconds `toml:"contact_s"`
+	AckTimeout       Seconds `toml:"ack_timeout_s"`
+	CatchUp          Seconds `toml:"catch_up_s"`
+	Drain            Seconds `toml:"drain_s"`
+	GracePeriod      Seconds `toml:"grace_period_s"`
+	LossSlack        Seconds `toml:"loss_slack_s"`
+	ConfigApply      Seconds `toml:"config_apply_s"`
+	RollbackSlack    Seconds `toml:"rollback_slack_s"`
+	MaxStretch       Seconds `toml:"max_stretch_s"`
+	RetryBudgetRatio float64 `toml:"retry_budget_ratio"`
+	BudgetWindow     Seconds `toml:"budget_window_s"`
+	RetryBudgetSlack float64 `toml:"retry_budget_slack"`
+	Recovery         Seconds `toml:"recovery_s"`
+	HistoryRetention Seconds `toml:"history_retention_s"`
+	Release          Seconds `toml:"release_s"`
+}
+
+// Settings is what a process is told at its start.
+type Settings struct {
+	NodeName       string            `toml:"node_name"`
+	Role           string            `toml:"role"`
+	Serves         []string          `toml:"serves"`
+	IP             string            `toml:"ip_address"`
+	Zone           string            `toml:"zone"`
+	Region         string            `toml:"region"`
+	PortRange      []int             `toml:"internal_port_range"`
+	Seeds          []string          `toml:"seed_nodes"`
+	Bootstrap      bool              `toml:"bootstrap"`
+	QuorumMember   bool              `toml:"quorum_member"`
+	DataDirectory  string            `toml:"data_directory"`
+	HeartbeatEvery Seconds           `toml:"heartbeat_interval_s"`
+	Zones          map[string]string `toml:"zones"`
+	Listen         struct {
+		Frontend  string `toml:"frontend"`
+		Readiness string `toml:"readiness"`
+		Control   string `toml:"control_plane"`
+	} `toml:"listen_addresses"`
+	Limits    Limits `toml:"limits"`
+	Tolerance struct {
+		Machines int `toml:"machines"`
+	} `toml:"fault_tolerance"`
+	Bounds Bounds `toml:"bounds"`
+}
+
+// Path gives the settings file's path: the flag's if set, else the
+// variable's, else the default.
+func Path(flag string) string {
+	if flag != "" {
+		return flag
+	}
+	if p := os.Getenv(EnvPath); p != "" {
+		return p
+	}
+	return DefaultPath
+}
+
+// Load reads and checks the settings at path.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks settings held in memory. Unknown fields are ignored.
+func Parse(text []byte) (*Settings, error) {
+	var raw map[string]any
+	if _, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&raw); err != nil {
+		return nil, fmt.Errorf("not readable as TOML: %w", err)
+	}
+	if err := check(raw); err != nil {
+		return nil, err
+	}
+	s := new(Settings)
+	if _, err := toml.NewDecoder(bytes.NewReader(text)).Decode(s); err != nil {
+		return nil, fmt.Errorf("not readable as TOML: %w", err)
+	}
+	if len(s.PortRange) == 2 && s.PortRange[0] > s.PortRange[1] {
+		return nil, errors.New("internal_port_range: first port is above the last")
+	}
+	need := map[string]string{"control": s.Listen.Control, "edge": s.Listen.Frontend}
+	name := map[string]string{"control": "control_plane", "edge": "frontend"}
+	for _, what := range s.Serves {
+		if addr, known := need[what]; known && addr == "" {
+			return nil, fmt.Errorf("listen_addresses.%s: missing, but serves names %q", name[what], what)
+		}
+	}
+	return s, nil
+}
+
+func check(raw map[string]any) error {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+	if err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("settings.json", doc); err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	sch, err := c.Compile("settings.json")
+	if err != nil {
+		return fmt.Errorf("schema: %w", err)
+	}
+	return Explain(sch.Validate(plain(raw)))
+}
+
+// plain turns what TOML yields into what a JSON schema knows.
+func plain(v any) any {
+	switch v := v.(type) {
+	case map[string]any:
+		out := make(map[string]any, len(v))
+		for k, x := range v {
+			out[k] = plain(x)
+		}
+		return out
+	case []any:
+		out := make([]any, len(v))
+		for i, x := range v {
+			out[i] = plain(x)
+		}
+		return out
+	case time.Time:
+		return v.String()
+	}
+	return v
+}
+
+// Explain turns a schema error into one short line that names the field.
+func Explain(err error) error {
+	var ve *jsonschema.ValidationError
+	if err == nil || !errors.As(err, &ve) {
+		return err
+	}
+	for len(ve.Causes) > 0 {
+		ve = ve.Causes[0]
+	}
+	field := strings.Join(ve.InstanceLocation, ".")
+	if field == "" {
+		field = "(top)"
+	}
+	msg := ve.Error()
+	if i := strings.LastIndex(msg, ": "); i >= 0 {
+		msg = msg[i+2:]
+	}
+	return fmt.Errorf("%s: %s", field, strings.TrimSpace(msg))
+}
+
+// InternalAddr is the address of the control-plane node's internal port, given
+// any address of that machine.
+func (s *Settings) InternalAddr(control string) string {
+	host, _, err := net.SplitHostPort(control)
+	if err != nil {
+		host = control
+	}
+	return net.JoinHostPort(host, strconv.Itoa(s.PortRange[0]))
+}
--- /dev/null
+++ b/internal/chest/chest.go
@@ -0,0 +1,305 @@
+// Package chest keeps a control-plane node's log on disk (durable log store)
+// in SQLite. One process owns the file: the journal is a WAL under an exclusive
+// lock, so no shared memory is used, and every Save is one durable sync.
+package chest
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"database/sql/driver"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/mattn/go-sqlite3"
+
+	"lichentray/clamp"
+)
+
+// Chest is an open store. It is not safe for use from two goroutines at once.
+type Chest struct {
+	dir  string
+	conn *sqlite3.SQLiteConn
+
+	insert, cut, set, drop driver.Stmt
+}
+
+// Identity is who this disk's life is.
+type Identity struct {
+	ID uint64
+	// Fresh tells that the disk was empty and Open has drawn the identity.
+	Fresh bool
+	// Discarded is why an unreadable store was set aside, or nil.
+	Discarded error
+}
+
+const file = "chest.db"
+
+// Open opens or makes the store in dir; an empty dir keeps it in memory. An
+// unreadable store is set aside: its identity is not used again, as it may have
+// forgotten a vote or an acknowledged entry. first, if not 0, is the identity
+// to use for an empty disk.
+func Open(dir string, first uint64) (*Chest, Identity, clamp.Saved, error) {
+	c := &Chest{dir: dir}
+	id, saved, err := c.load(first)
+	if err == nil || dir == "" || isRefusal(err) {
+		return c, id, saved, err
+	}
+	c.Close()
+	for _, f := range []string{file, file + "-wal"} {
+		old := filepath.Join(dir, f)
+		if e := os.Rename(old, old+".bad"); e != nil && !errors.Is(e, os.ErrNotExist) {
+			return c, id, saved, fmt.Errorf("chest: set aside: %w", e)
+		}
+	}
+	why := err
+	id, saved, err = c.load(0)
+	id.Discarded = why
+	return c, id, saved, err
+}
+
+// isRefusal tells a disk that refuses work from a file that is damaged.
+func isRefusal(err error) bool {
+	var se sqlite3.Error
+	if errors.As(err, &se) {
+		switch se.Code {
+		case sqlite3.ErrCorrupt, sqlite3.ErrNotADB, sqlite3.ErrSchema, sqlite3.ErrError:
+			return false
+		}
+		return true
+	}
+	return false
+}
+
+func (c *Chest) open() error {
+	path := "file::memory:"
+	if c.dir != "" {
+		path = "file:" + filepath.Join(c.dir, file)
+	}
+	d, err := (&sqlite3.SQLiteDriver{}).Open(path)
+	if err != nil {
+		return fmt.Errorf("chest: open: %w", err)
+	}
+	c.conn = d.(*sqlite3.SQLiteConn)
+	for _, q := range []string{
+		"PRAGMA locking_mode=EXCLUSIVE",
+		"PRAGMA journal_mode=WAL",
+		"PRAGMA synchronous=FULL",
+		"PRAGMA cache_size=-512",
+		"PRAGMA wal_autocheckpoint=500",
+		"PRAGMA journal_size_limit=4194304",
+		"CREATE TABLE IF NOT EXISTS log (idx INTEGER PRIMARY KEY, term INTEGER NOT NULL, type INTEGER NOT NULL, data BLOB NOT NULL)",
+		"CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID",
+	} {
+		if _, err := c.conn.Exec(q, nil); err != nil {
+			return fmt.Errorf("chest: %s: %w", q, err)
+		}
+	}
+	for _, p := range []struct {
+		to  *driver.Stmt
+		sql string
+	}{
+		{&c.insert, "INSERT OR REPLACE INTO log VALUES (?,?,?,?)"},
+		{&c.cut, "DELETE FROM log WHERE idx >= ?"},
+		{&c.drop, "DELETE FROM log WHERE idx <= ?"},
+		{&c.set, "INSERT OR REPLACE INTO meta VALUES (?,?)"},
+	} {
+		st, err := c.conn.Prepare(p.sql)
+		if err != nil {
+			return fmt.Errorf("chest: prepare: %w", err)
+		}
+		*p.to = st
+	}
+	return nil
+}
+
+// Close closes the store.
+func (c *Chest) Close() {
+	if c.conn == nil {
+		return
+	}
+	for _, s := range []driver.Stmt{c.insert, c.cut, c.set, c.drop} {
+		if s != nil {
+			s.Close()
+		}
+	}
+	c.conn.Close()
+	c.conn, c.insert, c.cut, c.set, c.drop = nil, nil, nil, nil, nil
+}
+
+func encode(v any) []byte {
+	var b bytes.Buffer
+	_ = gob.NewEncoder(&b).Encode(v) // plain structs always encode
+	return b.Bytes()
+}
+
+func (c *Chest) load(first uint64) (id Identity, saved clamp.Saved, err error) {
+	if err = c.open(); err != nil {
+		return
+	}
+	meta := map[string][]byte{}
+	err = c.rows("SELECT name, value FROM meta", func(v []driver.Value) error {
+		name, _ := v[0].(string)
+		if b, ok := v[0].([]byte); ok {
+			name = string(b)
+		}
+		value, _ := v[1].([]byte)
+		meta[name] = append([]byte(nil), value...)
+		return nil
+	})
+	if err != nil {
+		return
+	}
+	if raw, ok := meta["id"]; ok && len(raw) == 8 {
+		id.ID = binary.BigEndian.Uint64(raw)
+	} else {
+		id.Fresh, id.ID = true, first
+		if first == 0 {
+			var raw [8]byte
+			if _, err = rand.Read(raw[:]); err != nil {
+				return
+			}
+			id.ID = binary.BigEndian.Uint64(raw[:]) | 1<<63
+		}
+		var raw [8]byte
+		binary.BigEndian.PutUint64(raw[:], id.ID)
+		err = c.tx(func() error { return exec(c.set, "id", raw[:]) })
+		return
+	}
+	for name, to := range map[string]any{"hard": &saved.Hard, "snapshot": &saved.Snapshot} {
+		if raw, ok := meta[name]; ok {
+			if err = gob.NewDecoder(bytes.NewReader(raw)).Decode(to); err != nil {
+				return id, saved, fmt.Errorf("chest: %s: %w", name, err)
+			}
+		}
+	}
+	next := saved.Snapshot.Index + 1
+	err = c.rows("SELECT idx, term, type, data FROM log ORDER BY idx", func(v []driver.Value) error {
+		data, _ := v[3].([]byte)
+		e := clamp.Entry{Index: uint64(v[0].(int64)), Term: uint64(v[1].(int64)), Type: clamp.EntryType(v[2].(int64)), Data: append([]byte(nil), data...)}
+		if e.Index < next {
+			return nil
+		}
+		if e.Index != next {
+			return fmt.Errorf("chest: log has a gap before %d", e.Index)
+		}
+		next++
+		saved.Entries = append(saved.Entries, e)
+		return nil
+	})
+	return
+}
+
+func (c *Chest) rows(q string, each func([]driver.Value) error) error {
+	rows, err := c.conn.Query(q, nil)
+	if err != nil {
+		return fmt.Errorf("chest: %s: %w", q, err)
+	}
+	defer rows.Close()
+	v := make([]driver.Value, len(rows.Columns()))
+	for {
+		switch err := rows.Next(v); {
+		case err == nil:
+			if err := each(v); err != nil {
+				return err
+			}
+		case errors.Is(err, io.EOF):
+			return nil
+		default:
+			return fmt.Errorf("chest: %s: %w", q, err)
+		}
+	}
+}
+
+func exec(s driver.Stmt, args ...driver.Value) error {
+	named := make([]driver.NamedValue, len(args))
+	for i, a := range args {
+		named[i] = driver.NamedValue{Ordinal: i + 1, Value: a}
+	}
+	_, err := s.(driver.StmtExecContext).ExecContext(context.Background(), named)
+	return err
+}
+
+func (c *Chest) tx(body func() error) error {
+	if c.conn == nil {
+		if err := c.open(); err != nil {
+			c.Close()
+			return err
+		}
+	}
+	_, err := c.conn.Exec("BEGIN IMMEDIATE", nil)
+	if err == nil {
+		if err = body(); err == nil {
+			_, err = c.conn.Exec("COMMIT", nil)
+		}
+	}
+	if err != nil {
+		// After a refused write or sync nothing that the connection holds is
+		// trusted: the next try opens the file anew.
+		c.Close()
+		return fmt.Errorf("chest: save: %w", err)
+	}
+	return nil
+}
+
+// Save makes one batch durable, all of it or nothing.
+func (c *Chest) Save(hard *clamp.HardState, snapshot *clamp.Snapshot, entries []clamp.Entry) error {
+	return c.tx(func() error {
+		if hard != nil {
+			if err := exec(c.set, "hard", encode(*hard)); err != nil {
+				return err
+			}
+		}
+		if snapshot != nil {
+			if err := exec(c.set, "snapshot", encode(*snapshot)); err != nil {
+				return err
+			}
+			if err := exec(c.drop, int64(snapshot.Index)); err != nil {
+				return err
+			}
+		}
+		for i, e := range entries {
+			if i == 0 {
+				if err := exec(c.cut, int64(e.Index)); err != nil {
+					return err
+				}
+			}
+			data := e.Data
+			if data == nil {
+				data = []byte{}
+			}
+			if err := exec(c.insert, int64(e.Index), int64(e.Term), int64(e.Type), data); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Snapshot installed from a leader replaces the whole log.
+func (c *Chest) Replace(hard *clamp.HardState, snapshot *clamp.Snapshot, entries []clamp.Entry) error {
+	return c.tx(func() error {
+		if hard != nil {
+			if err := exec(c.set, "hard", encode(*hard)); err != nil {
+				return err
+			}
+		}
+		if err := exec(c.set, "snapshot", encode(*snapshot)); err != nil {
+			return err
+		}
+		if err := exec(c.cut, int64(0)); err != nil {
+			return err
+		}
+		for _, e := range entries {
+			if err := exec(c.insert, int64(e.Index), int64(e.Term), int64(e.Type), append([]byte{}, e.Data...)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/dowel/dowel.go
@@ -0,0 +1,272 @@
+// Package dowel joins the system's own processes (the internal wire): gob in
+// bounded frames over TCP, with a hello that tells version and role.
+package dowel
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"lichentray/clamp"
+	"lichentray/internal/notch"
+	"lichentray/rack"
+)
+
+// Version is the wire's version. Nodes of different versions do not talk.
+const Version = 1
+
+// MaxFrame bounds one frame.
+const MaxFrame = 32 << 20
+
+// Role is what the caller of a connection is.
+type Role uint8
+
+// The roles.
+const (
+	Peer  Role = iota + 1 // a control-plane node
+	Proxy                 // a proxy node
+	Tool                  // the operator's command line
+)
+
+// Hello opens a connection.
+type Hello struct {
+	Version int
+	Role    Role
+	Node    string
+	ID      uint64
+	Addr    string // where a control-plane node is reached
+}
+
+// Beat renews the liveness of an endpoint.
+type Beat struct {
+	ID    string
+	AgoMS uint32
+}
+
+// Ask is a call that wants one Answer.
+type Ask struct {
+	ID      uint64
+	Command []byte        // a rack command to put through the log
+	Read    bool          // a confirmed read point
+	CellGet string        // read a cell behind a read point
+	Join    *clamp.Member // take this node in as a learner
+	List    bool          // a list behind a read point, then the watch
+	Least   uint64        // the list or watch must reach this revision
+	Watch   bool          // events after Least
+	Status  bool
+}
+
+// Answer answers an Ask.
+type Answer struct {
+	ID       uint64
+	Failed   bool
+	Kind     notch.Kind
+	Detail   string
+	Result   rack.Result
+	Index    uint64
+	Found    bool
+	Value    string
+	Revision uint64
+	Objects  []rack.Object
+	Gone     bool
+	Status   *Status
+}
+
+// Bookmark tells a proxy how far the stream is and whom else it may ask.
+type Bookmark struct {
+	Revision uint64
+	Control  []string // internal addresses of control-plane nodes
+	Proxies  int
+}
+
+// NodeStatus is one member's state as the asked node sees it.
+type NodeStatus struct {
+	ID    uint64
+	Addr  string
+	API   string
+	Voter bool
+	Match uint64
+	AgoMS int64
+}
+
+// ProxyStatus is one proxy's state as its control-plane node sees it.
+type ProxyStatus struct {
+	Node     string
+	Revision uint64
+}
+
+// Status is what a control-plane node tells of itself.
+type Status struct {
+	Node      string
+	ID        uint64
+	Role      string
+	Term      uint64
+	Leader    uint64
+	Commit    uint64
+	Stable    uint64
+	Revision  uint64
+	Config    uint64
+	Endpoints int
+	Draining  int
+	Members   []NodeStatus
+	Proxies   []ProxyStatus
+}
+
+// Frame is one message. Only what is set is sent.
+type Frame struct {
+	Hello    *Hello
+	Raft     []clamp.Message
+	Beats    []Beat
+	Ask      *Ask
+	Answer   *Answer
+	Events   []rack.Event
+	Bookmark *Bookmark
+	Gone     bool
+	Proxies  *ProxyCount
+	Ack      uint64 // revision that a proxy has applied
+}
+
+// ProxyCount tells the leader how many proxies watch at a node, and the others
+// the sum.
+type ProxyCount struct {
+	Here int
+	Sum  int
+}
+
+// Conn is one connection. Send may be called from any goroutine; Receive from
+// one at a time.
+type Conn struct {
+	raw net.Conn
+	rd  *bufio.Reader
+	mu  sync.Mutex
+	out bytes.Buffer
+	enc *gob.Encoder
+	in  bytes.Buffer
+	dec *gob.Decoder
+	// WriteTimeout bounds one Send.
+	WriteTimeout time.Duration
+}
+
+// NewConn wraps a raw connection. silence is how long unacknowledged bytes may
+// wait before the kernel gives the connection up.
+func NewConn(raw net.Conn, silence time.Duration) *Conn {
+	SetSilence(raw, silence)
+	c := &Conn{raw: raw, rd: bufio.NewReaderSize(raw, 4096), WriteTimeout: silence}
+	c.enc = gob.NewEncoder(&c.out)
+	c.dec = gob.NewDecoder(&c.in)
+	return c
+}
+
+const tcpUserTimeout = 18 // TCP_USER_TIMEOUT
+
+// SetSilence sets TCP_USER_TIMEOUT, so that a peer without power is noticed.
+func SetSilence(raw net.Conn, silence time.Duration) {
+	t, ok := raw.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if sc, err := t.SyscallConn(); err == nil {
+		_ = sc.Control(func(fd uintptr) { // a kernel without it only notices later
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+		})
+	}
+}
+
+// Dial connects and says hello.
+func Dial(ctx context.Context, addr string, silence time.Duration, h Hello) (*Conn, error) {
+	d := net.Dialer{Timeout: silence, KeepAlive: -1}
+	raw, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("dowel: %w", err)
+	}
+	c := NewConn(raw, silence)
+	h.Version = Version
+	if err := c.Send(&Frame{Hello: &h}); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// ErrHello says that the other end does not speak this wire.
+var ErrHello = errors.New("dowel: no hello of this version")
+
+// Accept reads the hello of an incoming connection.
+func Accept(raw net.Conn, silence time.Duration) (*Conn, Hello, error) {
+	c := NewConn(raw, silence)
+	f, err := c.Receive(silence)
+	if err != nil {
+		return nil, Hello{}, err
+	}
+	if f.Hello == nil || f.Hello.Version != Version {
+		return nil, Hello{}, ErrHello
+	}
+	return c, *f.Hello, nil
+}
+
+// Send writes one frame.
+func (c *Conn) Send(f *Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out.Reset()
+	c.out.Write([]byte{0, 0, 0, 0})
+	if err := c.enc.Encode(f); err != nil {
+		return fmt.Errorf("dowel: encode: %w", err)
+	}
+	b := c.out.Bytes()
+	if len(b)-4 > MaxFrame {
+		return fmt.Errorf("dowel: frame of %d bytes is too large", len(b)-4)
+	}
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	if err := c.raw.SetWriteDeadline(time.Now().Add(c.WriteTimeout)); err != nil {
+		return fmt.Errorf("dowel: %w", err)
+	}
+	if _, err := c.raw.Write(b); err != nil {
+		c.raw.Close()
+		return fmt.Errorf("dowel: send: %w", err)
+	}
+	return nil
+}
+
+// Receive reads one frame; 0 waits without bound.
+func (c *Conn) Receive(wait time.Duration) (*Frame, error) {
+	var until time.Time
+	if wait > 0 {
+		until = time.Now().Add(wait)
+	}
+	if err := c.raw.SetReadDeadline(until); err != nil {
+		return nil, fmt.Errorf("dowel: %w", err)
+	}
+	var head [4]byte
+	if _, err := io.ReadFull(c.rd, head[:]); err != nil {
+		return nil, fmt.Errorf("dowel: receive: %w", err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > MaxFrame {
+		return nil, fmt.Errorf("dowel: frame of %d bytes is too large", n)
+	}
+	c.in.Reset()
+	if m, err := io.CopyN(&c.in, c.rd, int64(n)); err != nil || m != int64(n) {
+		return nil, fmt.Errorf("dowel: receive: %w", err)
+	}
+	f := new(Frame)
+	if err := c.dec.Decode(f); err != nil {
+		return nil, fmt.Errorf("dowel: decode: %w", err)
+	}
+	return f, nil
+}
+
+// Close ends the connection.
+func (c *Conn) Close() { c.raw.Close() }
+
+// Remote is the other end's address.
+func (c *Conn) Remote() string { return c.raw.RemoteAddr().String() }
--- /dev/null
+++ b/internal/hatch/hatch.go
@@ -0,0 +1,336 @@
+// Package hatch is the HTTP side of the control plane (the API server): it
+// reads calls, hands them to the control-plane node and answers from the one
+// table of error kinds.
+package hatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lichentray/internal/dial"
+	"lichentray/internal/notch"
+	"lichentray/latch"
+	"lichentray/rack"
+)
+
+// Node is what the API needs of the control-plane node.
+type Node interface {
+	Beat(e rack.Endpoint) error
+	SignOff(id string) error
+	Replace(text []byte) error
+	Configuration() ([]byte, error)
+	Do(cmd rack.Command) (rack.Result, error)
+	Cell(name string) (latch.Cell, error)
+	Watch(group string, after uint64, wait time.Duration) ([]latch.Event, uint64, error)
+}
+
+// API serves the control plane's calls.
+type API struct {
+	node  Node
+	board *dial.Board
+	wait  time.Duration // longest long poll
+}
+
+// NewAPI makes the handler's owner.
+func NewAPI(node Node, board *dial.Board, wait time.Duration) *API {
+	return &API{node: node, board: board, wait: wait}
+}
+
+// Server wraps a handler in a server that adds nothing of its own to answers.
+func Server(h fasthttp.RequestHandler, maxBody int) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		DisableHeaderNamesNormalizing: true, MaxRequestBodySize: maxBody, ReadBufferSize: 16 << 10,
+		CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quiet{}, SecureErrorLogMessage: true,
+	}
+}
+
+// quiet drops the library's own lines: counters tell of broken connections.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// Serve handles one call.
+func (a *API) Serve(ctx *fasthttp.RequestCtx) {
+	call, answer, err := a.call(ctx)
+	status := 200
+	if err != nil {
+		kind := notch.Of(err)
+		status = kind.Status()
+		if answer == nil {
+			answer = map[string]string{"error": kind.String(), "detail": err.Error()}
+		}
+		if status == 503 || status == 429 {
+			ctx.Response.Header.Set("Retry-After", "0.2")
+		}
+		a.board.Counter("calls_total", "call", call, "answer", kind.String()).Inc()
+	} else {
+		a.board.Counter("calls_total", "call", call, "answer", "ok").Inc()
+	}
+	ctx.SetStatusCode(status)
+	if raw, ok := answer.(text); ok {
+		ctx.SetContentType("text/plain; version=0.0.4")
+		ctx.SetBody(raw)
+		return
+	}
+	ctx.SetContentType("application/json")
+	switch v := answer.(type) {
+	case nil:
+		ctx.SetBodyString("{}")
+	case json.RawMessage:
+		ctx.SetBody(v)
+	default:
+		b, err := json.Marshal(v)
+		if err != nil {
+			ctx.SetStatusCode(500)
+			return
+		}
+		ctx.SetBody(b)
+	}
+}
+
+type text []byte
+
+func (a *API) call(ctx *fasthttp.RequestCtx) (name string, answer any, err error) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/api/rpc":
+		name = string(ctx.QueryArgs().Peek("call"))
+		h, ok := calls[name]
+		if !ok {
+			return "other", nil, notch.New(notch.NoRoute, "no call %q", name)
+		}
+		if !ctx.IsPost() {
+			return name, nil, notch.New(notch.BadRequest, "call %s is a POST", name)
+		}
+		answer, err = h(a, string(ctx.QueryArgs().Peek("of")), ctx.PostBody())
+		return name, answer, err
+	case strings.HasPrefix(path, "/api/numbers/") && ctx.IsPost():
+		r, err := a.node.Do(rack.Command{Latch: &latch.Command{Op: latch.Next, Name: path[len("/api/numbers/"):]}})
+		if err != nil {
+			return "numbers", nil, err
+		}
+		return "numbers", map[string]uint64{"value": r.Latch.Value}, nil
+	case strings.HasPrefix(path, "/api/watch/") && ctx.IsGet():
+		answer, err = a.watch(path[len("/api/watch/"):], ctx.QueryArgs())
+		return "watch", answer, err
+	case path == "/api/readiness" && ctx.IsGet():
+		return "readiness", nil, nil
+	case path == "/metrics" && ctx.IsGet():
+		return "metrics", text(Metrics(a.board)), nil
+	}
+	return "other", nil, notch.New(notch.NoRoute, "no call at %s", path)
+}
+
+// Metrics prints a board.
+func Metrics(b *dial.Board) []byte {
+	var sb strings.Builder
+	_ = b.Write(&sb) // a strings.Builder takes everything
+	return []byte(sb.String())
+}
+
+type handler func(a *API, of string, body []byte) (any, error)
+
+var calls = map[string]handler{
+	"instances.heartbeat":   (*API).heartbeat,
+	"instances.deregister":  (*API).deregister,
+	"configuration.replace": (*API).replace,
+	"configuration.read":    (*API).read,
+	"locks.begin":           (*API).lockBegin,
+	"locks.heartbeat":       (*API).lockRenew,
+	"locks.finish":          (*API).lockFinish,
+	"cells.replace":         (*API).cellReplace,
+	"cells.read":            (*API).cellRead,
+}
+
+func decode(body []byte, to any) error {
+	if err := json.Unmarshal(body, to); err != nil {
+		return notch.New(notch.BadRequest, "body: %v", err)
+	}
+	return nil
+}
+
+func needName(of string) error {
+	if of == "" {
+		return notch.New(notch.BadRequest, "of: name is missing")
+	}
+	return nil
+}
+
+func (a *API) heartbeat(of string, body []byte) (any, error) {
+	var b struct {
+		Address string `json:"address"`
+		Info    struct {
+			Service  string  `json:"backend_service"`
+			Zone     string  `json:"zone"`
+			Capacity float64 `json:"capacity"`
+		} `json:"info"`
+		Status struct {
+			State    string  `json:"state"`
+			Sequence float64 `json:"sequence"`
+			ColdS    float64 `json:"cold_remaining_s"`
+		} `json:"status"`
+	}
+	if err := needName(of); err != nil {
+		return nil, err
+	}
+	if err := decode(body, &b); err != nil {
+		return nil, err
+	}
+	if b.Address == "" || b.Info.Service == "" || (b.Status.State != "ready" && b.Status.State != "draining") {
+		return nil, notch.New(notch.BadRequest, "address, info.backend_service or status.state is missing or wrong")
+	}
+	return nil, a.node.Beat(rack.Endpoint{
+		ID: of, Service: b.Info.Service, Address: b.Address, Zone: b.Info.Zone, Capacity: int(b.Info.Capacity),
+		Draining: b.Status.State == "draining", Sequence: uint64(max(0, b.Status.Sequence)), ColdS: b.Status.ColdS,
+	})
+}
+
+func (a *API) deregister(of string, _ []byte) (any, error) {
+	if err := needName(of); err != nil {
+		return nil, err
+	}
+	return nil, a.node.SignOff(of)
+}
+
+func (a *API) replace(_ string, body []byte) (any, error) {
+	return nil, a.node.Replace(append([]byte(nil), body...))
+}
+
+func (a *API) read(string, []byte) (any, error) {
+	text, err := a.node.Configuration()
+	if err != nil {
+		return nil, err
+	}
+	return json.RawMessage(text), nil
+}
+
+type lockBody struct {
+	Holder string  `json:"holder"`
+	Fence  uint64  `json:"fence"`
+	HoldS  float64 `json:"hold_s"`
+}
+
+func (a *API) lock(op latch.Op, of string, body []byte) (latch.Result, error) {
+	var b lockBody
+	if err := needName(of); err != nil {
+		return latch.Result{}, err
+	}
+	if err := decode(body, &b); err != nil {
+		return latch.Result{}, err
+	}
+	if b.Holder == "" || (op != latch.Finish && b.HoldS <= 0) || b.HoldS > 1e6 {
+		return latch.Result{}, notch.New(notch.BadRequest, "holder or hold_s is missing or wrong")
+	}
+	r, err := a.node.Do(rack.Command{Latch: &latch.Command{
+		Op: op, Name: of, Holder: b.Holder, Fence: b.Fence, HoldMS: uint64(b.HoldS*1000 + 0.999),
+	}})
+	if err != nil {
+		return latch.Result{}, err
+	}
+	if r.Latch.Code != latch.OK {
+		return latch.Result{}, notch.New(notch.Held, "%s", of)
+	}
+	return r.Latch, nil
+}
+
+func (a *API) lockBegin(of string, body []byte) (any, error) {
+	r, err := a.lock(latch.Begin, of, body)
+	if err != nil {
+		return nil, err
+	}
+	return map[string]uint64{"fence": r.Fence}, nil
+}
+
+func (a *API) lockRenew(of string, body []byte) (any, error) {
+	_, err := a.lock(latch.Renew, of, body)
+	return nil, err
+}
+
+func (a *API) lockFinish(of string, body []byte) (any, error) {
+	_, err := a.lock(latch.Finish, of, body)
+	return nil, err
+}
+
+func (a *API) cellReplace(of string, body []byte) (any, error) {
+	var b struct {
+		Value   *string `json:"value"`
+		Enabled *uint64 `json:"enabled"`
+	}
+	if err := needName(of); err != nil {
+		return nil, err
+	}
+	if err := decode(body, &b); err != nil {
+		return nil, err
+	}
+	if b.Value == nil {
+		return nil, notch.New(notch.BadRequest, "value is missing")
+	}
+	c := latch.Command{Op: latch.Put, Name: of, Value: *b.Value}
+	if b.Enabled != nil {
+		c.HasExpect, c.Expect = true, *b.Enabled
+	}
+	r, err := a.node.Do(rack.Command{Latch: &c})
+	if err != nil {
+		return nil, err
+	}
+	answer := map[string]uint64{"revision": r.Latch.Revision}
+	if r.Latch.Code == latch.Mismatch {
+		return answer, notch.New(notch.Mismatch, "%s", of)
+	}
+	return answer, nil
+}
+
+func (a *API) cellRead(of string, _ []byte) (any, error) {
+	if err := needName(of); err != nil {
+		return nil, err
+	}
+	c, err := a.node.Cell(of)
+	if err != nil {
+		return nil, err
+	}
+	return map[string]any{"value": c.Value, "revision": c.Revision}, nil
+}
+
+type eventBody struct {
+	Name     string `json:"name"`
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+func (a *API) watch(group string, q *fasthttp.Args) (any, error) {
+	after, err := number(q, "after")
+	if err != nil {
+		return nil, err
+	}
+	waitMS, err := number(q, "wait_ms")
+	if err != nil {
+		return nil, err
+	}
+	wait := min(time.Duration(waitMS)*time.Millisecond, a.wait)
+	events, revision, err := a.node.Watch(latch.GroupOf(group), after, wait)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]eventBody, len(events))
+	for i, e := range events {
+		out[i] = eventBody{e.Name, e.Value, e.Revision}
+	}
+	return map[string]any{"events": out, "revision": revision}, nil
+}
+
+func number(q *fasthttp.Args, name string) (uint64, error) {
+	if !q.Has(name) {
+		return 0, nil
+	}
+	v, err := strconv.ParseFloat(string(q.Peek(name)), 64)
+	if err != nil || v < 0 || v > 1<<53 {
+		return 0, notch.New(notch.BadRequest, "%s", fmt.Sprintf("%s: not a number", name))
+	}
+	return uint64(v), nil
+}
--- /dev/null
+++ b/internal/lathe/duties.go
@@ -0,0 +1,520 @@
+package lathe
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lichentray/clamp"
+	"lichentray/internal/dowel"
+	"lichentray/internal/notch"
+	"lichentray/jig"
+	"lichentray/latch"
+	"lichentray/rack"
+)
+
+// duties are what the actor does by the clock.
+func (l *Lathe) duties() {
+	now := l.now()
+	if now-l.checkedAt < 4*l.timing.Heartbeat {
+		return
+	}
+	l.checkedAt = now
+	l.noteTime(now)
+	l.reportBeats(now)
+	l.countProxies(now)
+	ms := l.node.Members()
+	if l.node.Role() != clamp.Leader {
+		if !ms.Has(l.self.ID) || (l.node.Leader() == 0 && !ms.Voter(l.self.ID)) {
+			l.join(ms)
+		}
+		return
+	}
+	l.repairMembers(now, ms)
+	l.findCrashed(now)
+	l.trim(now)
+}
+
+// noteTime remembers which revision was reached when.
+func (l *Lathe) noteTime(now time.Duration) {
+	if n := len(l.marks); n == 0 || now-l.marks[n-1].at >= time.Second {
+		l.marks = append(l.marks, mark{now, l.store.Revision()})
+	}
+}
+
+// trim forgets history that nobody may ask for any more.
+func (l *Lathe) trim(now time.Duration) {
+	keep := l.set.Bounds.HistoryRetention.D() * 3 / 2
+	if now-l.trimAt < keep/4 {
+		return
+	}
+	var before uint64
+	i := 0
+	for i < len(l.marks) && now-l.marks[i].at > keep {
+		before = l.marks[i].revision
+		i++
+	}
+	if i == 0 {
+		return
+	}
+	l.marks = append([]mark(nil), l.marks[i:]...)
+	l.trimAt = now
+	l.node.Propose(rack.EncodeCommand(rack.Command{Latch: &latch.Command{Op: latch.Trim, Before: before}}))
+	// Signs of the departed are kept as long as the history.
+	var drop rack.Txn
+	for _, o := range l.store.List(rack.DepartedPrefix) {
+		if o.ModRevision <= before {
+			drop.If = append(drop.If, rack.Condition{Key: o.Key, ModRevision: o.ModRevision})
+			drop.Then = append(drop.Then, rack.Write{Key: o.Key, Delete: true})
+		}
+	}
+	if len(drop.Then) > 0 {
+		l.node.Propose(rack.EncodeCommand(rack.Command{Txn: &drop}))
+	}
+}
+
+// reportBeats sends the liveness seen here to the leader.
+func (l *Lathe) reportBeats(now time.Duration) {
+	l.mu.Lock()
+	beats := l.beats
+	if len(beats) == 0 {
+		l.mu.Unlock()
+		return
+	}
+	l.beats = map[string]time.Duration{}
+	l.mu.Unlock()
+	if l.node.Role() == clamp.Leader {
+		for id, at := range beats {
+			l.alive[id] = max(l.alive[id], at)
+		}
+		return
+	}
+	var out []dowel.Beat
+	for id, at := range beats {
+		out = append(out, dowel.Beat{ID: id, AgoMS: uint32((now - at).Milliseconds())})
+	}
+	l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Beats: out})
+}
+
+// countProxies lets every node know how many proxies there are.
+func (l *Lathe) countProxies(now time.Duration) {
+	l.mu.RLock()
+	here := len(l.sessions)
+	l.mu.RUnlock()
+	if l.node.Role() != clamp.Leader {
+		l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Proxies: &dowel.ProxyCount{Here: here}})
+		return
+	}
+	sum := here
+	for id, c := range l.counts {
+		if now-c.at > l.timing.Dead {
+			delete(l.counts, id)
+			continue
+		}
+		sum += c.n
+	}
+	l.mu.Lock()
+	l.sum = sum
+	l.mu.Unlock()
+	for _, m := range l.node.Members().All() {
+		l.links.tell(m.Addr, &dowel.Frame{Proxies: &dowel.ProxyCount{Sum: sum}})
+	}
+}
+
+// join asks every control-plane node known to be taken in.
+func (l *Lathe) join(ms clamp.Membership) {
+	asked := map[string]bool{l.self.Addr: true}
+	var addrs []string
+	for _, m := range ms.All() {
+		addrs = append(addrs, m.Addr)
+	}
+	for _, s := range l.seeds() {
+		addrs = append(addrs, l.set.InternalAddr(s))
+	}
+	self := l.self
+	for _, a := range addrs {
+		if asked[a] {
+			continue
+		}
+		asked[a] = true
+		go func() {
+			// Refused or unheard, it is asked again at the next duty.
+			_, _, _ = l.links.ask(a, &dowel.Ask{Join: &self}, l.timing.Election)
+		}()
+	}
+}
+
+// repairMembers takes one step towards a full set of living voters.
+func (l *Lathe) repairMembers(now time.Duration, ms clamp.Membership) {
+	if l.node.Changing() {
+		return
+	}
+	newest := map[string]uint64{}
+	for _, m := range ms.All() {
+		if old, ok := newest[m.Addr]; !ok || l.node.Heard(m.ID) > l.node.Heard(old) {
+			newest[m.Addr] = m.ID
+		}
+	}
+	alive := func(m clamp.Member) bool {
+		return m.ID == l.self.ID || (newest[m.Addr] == m.ID && now-l.node.Heard(m.ID) < l.timing.Dead)
+	}
+	var candidate *clamp.Member
+	for i, m := range ms.Learners {
+		// Whoever follows within what one batch brings is caught up.
+		if alive(m) && l.node.Match(m.ID)+100 >= l.node.Last() && (candidate == nil || l.node.Match(m.ID) > l.node.Match(candidate.ID)) {
+			candidate = &ms.Learners[i]
+		}
+	}
+	var dead *clamp.Member
+	living := 0
+	for i, m := range ms.Voters {
+		if alive(m) {
+			living++
+		} else {
+			dead = &ms.Voters[i]
+		}
+	}
+	want := 2*l.set.Tolerance.Machines + 1
+	var next clamp.Membership
+	why := ""
+	switch {
+	case dead != nil && len(ms.Voters)%2 == 0 && living > len(ms.Voters)/2:
+		next, why = ms.WithLearner(*dead), "dead voter follows only"
+		if newest[dead.Addr] != dead.ID {
+			next, why = ms.Without(dead.ID), "replaced voter leaves"
+		}
+	case candidate != nil && (dead != nil || len(ms.Voters) < want || len(ms.Voters)%2 == 0):
+		next, why = ms.WithVoter(*candidate), "learner votes"
+	case len(ms.Voters) > want && len(ms.Voters)%2 == 0:
+		var slow *clamp.Member
+		for i, m := range ms.Voters {
+			if m.ID != l.self.ID && (slow == nil || l.node.Match(m.ID) < l.node.Match(slow.ID)) {
+				slow = &ms.Voters[i]
+			}
+		}
+		next, why = ms.WithLearner(*slow), "spare voter follows only"
+	default:
+		for _, m := range ms.Learners {
+			if newest[m.Addr] != m.ID || now-l.node.Heard(m.ID) > max(l.set.Bounds.Recovery.D(), 2*l.set.Bounds.CatchUp.D()) {
+				next, why = ms.Without(m.ID), "learner not heard leaves"
+			}
+		}
+	}
+	if why == "" {
+		return
+	}
+	if err := l.node.ProposeMembers(next); err == nil {
+		l.log.Info("changing the membership", "why", why, "voters", len(next.Voters), "learners", len(next.Learners))
+	}
+}
+
+// findCrashed removes endpoints whose beats stopped and that do not answer a
+// health probe either. Only a leader that a majority still hears judges, and
+// every endpoint has a fresh grace after a change of leader.
+func (l *Lathe) findCrashed(now time.Duration) {
+	if !l.node.InTouch(l.timing.Election) || now-l.leadSince < l.timing.Missed {
+		return
+	}
+	known := map[string]bool{}
+	for _, o := range l.store.List(rack.EndpointPrefix) {
+		e, err := rack.DecodeEndpoint(o)
+		if err != nil {
+			continue
+		}
+		known[e.ID] = true
+		seen, ok := l.alive[e.ID]
+		if !ok {
+			// First seen by this leader now.
+			l.alive[e.ID] = now
+			continue
+		}
+		if now-seen <= l.timing.Missed || l.probing[e.ID] {
+			continue
+		}
+		l.probing[e.ID] = true
+		go l.probe(o, e, l.healthPath(e.Service))
+	}
+	for id := range l.alive {
+		if !known[id] && now-l.alive[id] > l.timing.Missed {
+			delete(l.alive, id)
+		}
+	}
+}
+
+func (l *Lathe) healthPath(service string) string {
+	o, ok := l.store.Get(rack.ConfigKey)
+	if !ok || len(o.Value) < 8 {
+		return ""
+	}
+	c, err := jig.Read(o.Value[8:])
+	if err != nil {
+		return ""
+	}
+	for _, s := range c.Clusters {
+		if s.Name == service {
+			return s.HealthPath
+		}
+	}
+	return ""
+}
+
+// probe asks an endpoint whose beats stopped for its health, and removes it
+// if it is not there.
+func (l *Lathe) probe(o rack.Object, e rack.Endpoint, path string) {
+	there := path != "" && probeOnce(e, path, l.timing.Silence)
+	l.board.Counter("probes_total").Inc()
+	defer l.post(func() {
+		delete(l.probing, e.ID)
+		if there {
+			l.alive[e.ID] = l.now()
+		}
+	})
+	if there {
+		return
+	}
+	done := make(chan outcome, 1)
+	at := make(chan string, 1)
+	l.post(func() {
+		if l.now()-l.alive[e.ID] <= l.timing.Missed {
+			at <- "" // it has beaten in the meantime
+			return
+		}
+		at <- l.propose(rack.Command{Txn: &rack.Txn{
+			If:   []rack.Condition{{Key: o.Key, ModRevision: o.ModRevision}},
+			Then: []rack.Write{{Key: o.Key, Delete: true}},
+		}}, done)
+	})
+	if a := l.await(0, at, done); !a.Failed && !a.Result.Conflict {
+		l.nRemoved.Inc()
+		l.log.Info("endpoint removed, no beats and no answer to a probe", "endpoint", e.ID, "service", e.Service)
+	}
+}
+
+func probeOnce(e rack.Endpoint, path string, wait time.Duration) bool {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + e.Address + path)
+	req.Header.Set("X-Target-Instance", e.ID)
+	req.SetConnectionClose()
+	c := fasthttp.HostClient{
+		Addr: e.Address, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 64 << 10,
+		Dial: func(addr string) (net.Conn, error) { return net.DialTimeout("tcp4", addr, wait) },
+	}
+	if err := c.DoTimeout(req, resp, wait); err != nil {
+		return false
+	}
+	id := string(resp.Header.Peek("X-Instance-Id"))
+	return id == e.ID || (id == "" && resp.StatusCode() == 200)
+}
+
+// Beat takes a heartbeat of an endpoint.
+func (l *Lathe) Beat(e rack.Endpoint) error {
+	l.nBeats.Inc()
+	for range 4 {
+		l.mu.Lock()
+		o, known := l.store.Get(e.Key())
+		_, departed := l.store.Get(rack.DepartedPrefix + e.ID)
+		if !departed {
+			l.beats[e.ID] = l.now()
+		}
+		l.mu.Unlock()
+		if departed {
+			return nil // a late beat of a life that has signed off
+		}
+		txn := &rack.Txn{}
+		if !known {
+			txn.If = []rack.Condition{{Key: e.Key()}, {Key: rack.DepartedPrefix + e.ID}}
+			txn.Then = []rack.Write{{Key: e.Key(), Value: e.Encode()}}
+		} else {
+			old, err := rack.DecodeEndpoint(o)
+			if err != nil {
+				return notch.New(notch.Internal, "%v", err)
+			}
+			if old.Draining || !e.Draining {
+				return nil // an ordinary beat, or a late one: no write
+			}
+			old.Draining, old.Sequence = true, e.Sequence
+			txn.If = []rack.Condition{{Key: e.Key(), ModRevision: o.ModRevision}}
+			txn.Then = []rack.Write{{Key: e.Key(), Value: old.Encode()}}
+		}
+		r, err := l.Do(rack.Command{Txn: txn})
+		if err != nil {
+			return err
+		}
+		if !r.Conflict {
+			return nil
+		}
+		if err := l.ReadPoint(); err != nil {
+			return err
+		}
+	}
+	return notch.New(notch.Unavailable, "endpoint %s changes too often", e.ID)
+}
+
+// SignOff removes an endpoint for good.
+func (l *Lathe) SignOff(id string) error {
+	for range 4 {
+		l.mu.RLock()
+		o, known := l.store.Get(rack.EndpointPrefix + id)
+		_, departed := l.store.Get(rack.DepartedPrefix + id)
+		l.mu.RUnlock()
+		if departed {
+			return nil
+		}
+		txn := &rack.Txn{
+			If:   []rack.Condition{{Key: rack.EndpointPrefix + id, ModRevision: o.ModRevision}, {Key: rack.DepartedPrefix + id}},
+			Then: []rack.Write{{Key: rack.DepartedPrefix + id, Value: []byte{}}},
+		}
+		if known {
+			txn.Then = append(txn.Then, rack.Write{Key: rack.EndpointPrefix + id, Delete: true})
+		}
+		r, err := l.Do(rack.Command{Txn: txn})
+		if err != nil {
+			return err
+		}
+		if !r.Conflict {
+			return nil
+		}
+		if err := l.ReadPoint(); err != nil {
+			return err
+		}
+	}
+	return notch.New(notch.Unavailable, "endpoint %s changes too often", id)
+}
+
+// Replace takes a whole configuration.
+func (l *Lathe) Replace(text []byte) error {
+	c, err := jig.Read(text)
+	if err != nil {
+		return notch.New(notch.Invalid, "%v", err)
+	}
+	value := make([]byte, 8, 8+len(text))
+	for i := range 8 {
+		value[i] = byte(c.Version >> (56 - 8*i))
+	}
+	value = append(value, text...)
+	for range 8 {
+		l.mu.RLock()
+		o, _ := l.store.Get(rack.ConfigKey)
+		held := l.configVersion()
+		l.mu.RUnlock()
+		if o.ModRevision != 0 && held >= c.Version {
+			return nil // what is held is committed, and it is not older
+		}
+		r, err := l.Do(rack.Command{Txn: &rack.Txn{
+			If:   []rack.Condition{{Key: rack.ConfigKey, ModRevision: o.ModRevision}},
+			Then: []rack.Write{{Key: rack.ConfigKey, Value: value}},
+		}})
+		if err != nil {
+			return err
+		}
+		if !r.Conflict {
+			l.log.Info("configuration acknowledged", "version", c.Version, "revision", r.Revision)
+			return nil
+		}
+		if err := l.ReadPoint(); err != nil {
+			return err
+		}
+	}
+	return notch.New(notch.Unavailable, "configuration changes too often")
+}
+
+// Configuration reads the newest configuration, whole.
+func (l *Lathe) Configuration() ([]byte, error) {
+	if err := l.ReadPoint(); err != nil {
+		return nil, err
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	o, ok := l.store.Get(rack.ConfigKey)
+	if !ok || len(o.Value) < 8 {
+		return nil, notch.New(notch.NoKey, "no configuration yet")
+	}
+	return o.Value[8:], nil
+}
+
+// Cell reads a cell behind a read point.
+func (l *Lathe) Cell(name string) (latch.Cell, error) {
+	if err := l.ReadPoint(); err != nil {
+		return latch.Cell{}, err
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	c, ok := l.store.Latches().Cells[name]
+	if !ok {
+		return c, notch.New(notch.NoKey, "no cell %q", name)
+	}
+	return c, nil
+}
+
+// Watch waits for puts in a group above after.
+func (l *Lathe) Watch(group string, after uint64, wait time.Duration) ([]latch.Event, uint64, error) {
+	if err := l.ReadPoint(); err != nil {
+		return nil, 0, err
+	}
+	if after == 0 {
+		l.mu.RLock()
+		_, rev, _ := l.store.Latches().Since(group, ^uint64(0)>>1)
+		l.mu.RUnlock()
+		return nil, rev, nil
+	}
+	ch := make(chan struct{}, 1)
+	l.mu.Lock()
+	if l.groups[group] == nil {
+		l.groups[group] = map[chan struct{}]struct{}{}
+	}
+	l.groups[group][ch] = struct{}{}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.groups[group], ch)
+		if len(l.groups[group]) == 0 {
+			delete(l.groups, group)
+		}
+		l.mu.Unlock()
+	}()
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	check := time.NewTicker(l.timing.Election / 2)
+	defer check.Stop()
+	for {
+		l.mu.RLock()
+		events, rev, ok := l.store.Latches().Since(group, after)
+		events = append([]latch.Event(nil), events...)
+		l.mu.RUnlock()
+		if !ok {
+			return nil, rev, notch.New(notch.Expired, "after %d", after)
+		}
+		if len(events) > 0 {
+			return events, rev, nil
+		}
+		select {
+		case <-ch:
+		case <-end.C:
+			return nil, max(rev, after), nil
+		case <-check.C:
+			if !l.fresh() || l.closing.Load() {
+				return nil, 0, notch.New(notch.Unavailable, "this node has lost touch")
+			}
+		case <-l.ctx.Done():
+			return nil, 0, notch.New(notch.Unavailable, "node is stopping")
+		}
+	}
+}
+
+func (l *Lathe) seeds() []string {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.set.Seeds
+}
+
+// SetSeeds takes the seed addresses of a settings file that has changed.
+func (l *Lathe) SetSeeds(seeds []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set.Seeds = seeds
+	l.log.Info("settings read again", "seeds", fmt.Sprint(seeds))
+}
--- /dev/null
+++ b/internal/lathe/lathe.go
@@ -0,0 +1,808 @@
+// Package lathe is the control-plane node: an actor that turns consensus,
+// the registry and its cacher, with disk, peers and timers round it.
+package lathe
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"math/rand"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lichentray/clamp"
+	"lichentray/internal/caliper"
+	"lichentray/internal/chest"
+	"lichentray/internal/dial"
+	"lichentray/internal/dowel"
+	"lichentray/internal/notch"
+	"lichentray/latch"
+	"lichentray/rack"
+	"lichentray/spool"
+)
+
+// Timing are the node's own figures, all derived from the bounds.
+type Timing struct {
+	Tick      time.Duration
+	Heartbeat time.Duration
+	Election  time.Duration
+	Dead      time.Duration // a member not heard for so long may be replaced
+	Silence   time.Duration // of a connection between processes
+	Bookmark  time.Duration
+	Answer    time.Duration // longest wait for an outcome
+	Window    time.Duration // of the cacher
+	Missed    time.Duration // an endpoint's beats before it is probed
+}
+
+// TimingOf derives the figures.
+func TimingOf(s *caliper.Settings) Timing {
+	contact := s.Bounds.Contact.D()
+	return Timing{
+		Tick:      contact / 150,
+		Heartbeat: contact / 50,
+		Election:  contact * 2 / 15,
+		Dead:      contact / 2,
+		Silence:   contact / 4,
+		Bookmark:  min(s.Bounds.Drain.D(), s.Bounds.ConfigApply.D()) / 10,
+		Answer:    min(s.Bounds.AckTimeout.D()/5, 900*time.Millisecond),
+		Window:    5 * time.Minute,
+		Missed:    s.HeartbeatEvery.D()*2 + contact/6,
+	}
+}
+
+type waiter struct {
+	term uint64
+	done chan outcome
+}
+
+type outcome struct {
+	result rack.Result
+	err    error
+}
+
+// Lathe is a running control-plane node.
+type Lathe struct {
+	set    *caliper.Settings
+	timing Timing
+	log    *slog.Logger
+	board  *dial.Board
+	start  time.Time
+	self   clamp.Member
+	chest  *chest.Chest
+
+	mail chan func()
+	disk chan diskJob
+	ctx  context.Context
+	stop context.CancelFunc
+
+	// Owned by the actor.
+	node      *clamp.Node
+	pending   map[uint64]waiter
+	reads     map[uint64]chan outcome
+	readSeq   uint64
+	alive     map[string]time.Duration
+	probing   map[string]bool
+	leadSince time.Duration
+	role      clamp.Role
+	leader    uint64
+	logBytes  int
+	checkedAt time.Duration
+	trimAt    time.Duration
+	marks     []mark
+	members   int // version of the links' addresses
+	memberKey string
+	counts    map[uint64]proxyCount
+
+	// Shared behind a short lock.
+	mu       sync.RWMutex
+	store    *rack.Store
+	cache    *spool.Cacher
+	locks    map[string]lockTimer
+	view     view
+	wake     map[chan struct{}]struct{}
+	groups   map[string]map[chan struct{}]struct{}
+	applied  map[chan struct{}]uint64
+	index    uint64
+	sessions map[*session]struct{}
+	beats    map[string]time.Duration
+	sum      int
+
+	links   linkSet
+	askSeq  atomic.Uint64
+	closing atomic.Bool
+
+	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nBeats, nRemoved, nApplied *dial.Counter
+}
+
+type proxyCount struct {
+	n  int
+	at time.Duration
+}
+
+type mark struct {
+	at       time.Duration
+	revision uint64
+}
+
+type lockTimer struct {
+	grant uint64
+	until time.Duration
+}
+
+// view is what other goroutines need to know of the consensus state.
+type view struct {
+	role     clamp.Role
+	leader   uint64
+	term     uint64
+	leaderAt string // internal address
+	freshAt  time.Duration
+	members  clamp.Membership
+	commit   uint64
+	stable   uint64
+	heard    map[uint64]time.Duration
+	match    map[uint64]uint64
+}
+
+func memberID(addr string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(addr))
+	return h.Sum64()&^(1<<63) | 1
+}
+
+// Start opens the disk and begins to turn.
+func Start(set *caliper.Settings, log *slog.Logger, board *dial.Board) (*Lathe, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &Lathe{
+		set: set, timing: TimingOf(set), log: log, board: board, start: time.Now(),
+		mail: make(chan func(), 1024), disk: make(chan diskJob, 4096), ctx: ctx, stop: stop,
+		pending: map[uint64]waiter{}, reads: map[uint64]chan outcome{},
+		alive: map[string]time.Duration{}, probing: map[string]bool{}, counts: map[uint64]proxyCount{},
+		store: rack.New(), locks: map[string]lockTimer{},
+		wake: map[chan struct{}]struct{}{}, groups: map[string]map[chan struct{}]struct{}{},
+		applied: map[chan struct{}]uint64{}, sessions: map[*session]struct{}{}, beats: map[string]time.Duration{},
+	}
+	l.cache = spool.NewCacher(l.timing.Window, 20000)
+	l.nProposals = board.Counter("proposals_total")
+	l.nUnknown = board.Counter("proposals_unknown_total")
+	l.nElections = board.Counter("elections_total")
+	l.nSync = board.Counter("disk_syncs_total")
+	l.nSyncUS = board.Counter("disk_sync_microseconds_total")
+	l.nDiskFail = board.Counter("disk_failures_total")
+	l.nBadPeer = board.Counter("bad_peers_total")
+	l.nRelist = board.Counter("watch_lists_total")
+	l.nBeats = board.Counter("beats_total")
+	l.nRemoved = board.Counter("endpoints_removed_total")
+	l.nApplied = board.Counter("applied_index")
+
+	addr := set.InternalAddr(set.Listen.Control)
+	var initial clamp.Membership
+	isSeed := false
+	for _, s := range set.Seeds {
+		m := clamp.Member{Addr: set.InternalAddr(s), API: s}
+		m.ID = memberID(m.Addr)
+		if initial.Has(m.ID) {
+			continue
+		}
+		initial.Voters = append(initial.Voters, m)
+		isSeed = isSeed || m.Addr == addr
+	}
+	var first uint64
+	if set.Bootstrap && isSeed {
+		first = memberID(addr)
+	}
+	ch, id, saved, err := chest.Open(set.DataDirectory, first)
+	for tries := 0; err != nil && tries < 20; tries++ {
+		// A disk in trouble refuses for seconds; a start waits for it.
+		l.nDiskFail.Inc()
+		time.Sleep(l.timing.Election / 2)
+		ch, id, saved, err = chest.Open(set.DataDirectory, first)
+	}
+	if err != nil {
+		stop()
+		return nil, fmt.Errorf("open store: %w", err)
+	}
+	if id.Discarded != nil {
+		log.Error("store set aside as unreadable, joining as a new member", "cause", id.Discarded)
+	}
+	l.chest = ch
+	blank := saved.Hard.Term == 0 && len(saved.Entries) == 0 && len(saved.Snapshot.Members.All()) == 0
+	if blank && first != 0 && id.ID == first {
+		saved.Snapshot.Members = initial
+		if err := ch.Save(nil, &saved.Snapshot, nil); err != nil {
+			stop()
+			return nil, fmt.Errorf("bootstrap: %w", err)
+		}
+	}
+	if saved.Snapshot.Data != nil {
+		if err := l.store.Restore(saved.Snapshot.Data); err != nil {
+			stop()
+			return nil, err
+		}
+	}
+	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control}
+	l.cache.Reset(l.store.Revision())
+	l.index = saved.Snapshot.Index
+	l.armLocks(0)
+	for _, e := range saved.Entries {
+		l.logBytes += len(e.Data)
+	}
+	l.node = clamp.New(clamp.Config{ID: id.ID, Heartbeat: l.timing.Heartbeat, Election: l.timing.Election, Rand: rand.Int63n}, 0, saved)
+	l.links = linkSet{l: l, byAddr: map[string]*link{}, addrOf: map[uint64]string{}}
+
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		stop()
+		return nil, fmt.Errorf("internal port: %w", err)
+	}
+	go l.accept(ln)
+	go l.writeDisk()
+	go l.run()
+	log.Info("started", "member", fmt.Sprintf("%016x", id.ID), "fresh", id.Fresh, "last", l.node.Last())
+	return l, nil
+}
+
+func (l *Lathe) now() time.Duration { return time.Since(l.start) }
+
+// post hands work to the actor.
+func (l *Lathe) post(f func()) bool {
+	select {
+	case l.mail <- f:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+func (l *Lathe) run() {
+	tick := time.NewTicker(l.timing.Tick)
+	defer tick.Stop()
+	l.flush()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case f := <-l.mail:
+			f()
+			// What else has arrived goes into the same batch.
+			for more := true; more; {
+				select {
+				case f := <-l.mail:
+					f()
+				default:
+					more = false
+				}
+			}
+		case <-tick.C:
+			l.node.Tick(l.now())
+			l.duties()
+		}
+		l.flush()
+	}
+}
+
+// flush carries out what the node wants done.
+func (l *Lathe) flush() {
+	for {
+		e := l.node.Ready()
+		l.publish()
+		if len(e.Send) == 0 && e.Write == nil && len(e.Committed) == 0 && len(e.Reads) == 0 {
+			return
+		}
+		l.links.send(e.Send)
+		if e.Write != nil {
+			l.disk <- diskJob{hard: e.Write.Hard, install: e.Write.Snapshot, entries: e.Write.Entries, after: e.Write.After}
+		}
+		if e.Install != nil {
+			l.installSnapshot(e.Install)
+		}
+		for _, en := range e.Committed {
+			l.apply(en)
+		}
+		for _, r := range e.Reads {
+			if ch := l.reads[r.Context]; ch != nil {
+				delete(l.reads, r.Context)
+				o := outcome{result: rack.Result{Revision: r.Index}}
+				if !r.OK {
+					o.err = errNotLeader
+				}
+				ch <- o
+			}
+		}
+		l.maybeCompact()
+	}
+}
+
+var errNotLeader = notch.New(notch.Unavailable, "this node does not lead")
+
+// publish lets the other goroutines see the consensus state.
+func (l *Lathe) publish() {
+	n := l.node
+	now := l.now()
+	role, leader := n.Role(), n.Leader()
+	if role != l.role || leader != l.leader {
+		if role == clamp.Leader && l.role != clamp.Leader {
+			l.leadSince = now
+			l.nElections.Inc()
+			l.alive, l.counts = map[string]time.Duration{}, map[uint64]proxyCount{}
+			l.log.Info("leading", "term", n.Term())
+		} else if role != clamp.Leader && (l.role == clamp.Leader || leader != l.leader && leader != 0) {
+			l.log.Info("following", "term", n.Term(), "leader", fmt.Sprintf("%016x", leader))
+		}
+		l.role, l.leader = role, leader
+	}
+	ms := n.Members()
+	l.links.learn(ms)
+	v := view{role: role, leader: leader, term: n.Term(), members: ms, commit: n.Commit(), stable: n.Stable()}
+	v.leaderAt = l.links.addr(leader)
+	if role == clamp.Leader {
+		if n.InTouch(l.timing.Election) {
+			v.freshAt = now
+		}
+	} else if leader != 0 {
+		v.freshAt = n.HeardAt()
+	}
+	l.mu.Lock()
+	if v.freshAt == 0 {
+		v.freshAt = l.view.freshAt
+	}
+	l.view = v
+	l.mu.Unlock()
+}
+
+func (l *Lathe) apply(en clamp.Entry) {
+	var res rack.Result
+	var events []rack.Event
+	if en.Type == clamp.Normal && len(en.Data) > 0 {
+		cmd, err := rack.DecodeCommand(en.Data)
+		if err != nil {
+			// Every replica skips it alike.
+			l.log.Error("log entry cannot be read", "index", en.Index, "error", err)
+		} else {
+			now := l.now()
+			l.mu.Lock()
+			res, events = l.store.Apply(cmd)
+			if cmd.Latch != nil {
+				l.timeLock(now, cmd.Latch, res.Latch)
+			}
+			l.cache.Append(now, l.store.Revision(), events)
+			if len(events) > 0 {
+				for ch := range l.wake {
+					poke(ch)
+				}
+			}
+			if cmd.Latch != nil && cmd.Latch.Op == latch.Put {
+				for ch := range l.groups[latch.GroupOf(cmd.Latch.Name)] {
+					poke(ch)
+				}
+			}
+			l.mu.Unlock()
+		}
+	} else if en.Type == clamp.Change {
+		l.log.Info("membership changed", "index", en.Index, "voters", len(l.node.Members().Voters), "learners", len(l.node.Members().Learners))
+	}
+	l.logBytes += len(en.Data)
+	l.nApplied.Set(int64(en.Index))
+	l.mu.Lock()
+	l.index = en.Index
+	for ch, at := range l.applied {
+		if en.Index >= at {
+			delete(l.applied, ch)
+			poke(ch)
+		}
+	}
+	l.mu.Unlock()
+	if w, ok := l.pending[en.Index]; ok {
+		delete(l.pending, en.Index)
+		if w.term == en.Term {
+			w.done <- outcome{result: res}
+		} else {
+			// Another entry stands in its place: it never takes effect.
+			w.done <- outcome{err: notch.New(notch.Unavailable, "leadership changed")}
+		}
+	}
+}
+
+func poke(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+func (l *Lathe) timeLock(now time.Duration, c *latch.Command, r latch.Result) {
+	switch c.Op {
+	case latch.Begin, latch.Renew:
+		if r.Code == latch.OK {
+			l.locks[c.Name] = lockTimer{r.Grant, now + time.Duration(c.HoldMS)*time.Millisecond}
+		}
+	case latch.Finish:
+		if _, held := l.store.Latches().Locks[c.Name]; !held {
+			delete(l.locks, c.Name)
+		}
+	}
+}
+
+// armLocks starts every lock's time anew, as after a snapshot.
+func (l *Lathe) armLocks(now time.Duration) {
+	l.locks = map[string]lockTimer{}
+	for name, k := range l.store.Latches().Locks {
+		l.locks[name] = lockTimer{k.Grant, now + time.Duration(k.HoldMS)*time.Millisecond}
+	}
+}
+
+func (l *Lathe) installSnapshot(s *clamp.Snapshot) {
+	l.mu.Lock()
+	err := l.store.Restore(s.Data)
+	if err == nil {
+		l.cache.Reset(l.store.Revision())
+		l.index = s.Index
+		l.armLocks(l.now())
+		for ch := range l.wake {
+			poke(ch)
+		}
+		for _, g := range l.groups {
+			for ch := range g {
+				poke(ch)
+			}
+		}
+	}
+	l.mu.Unlock()
+	if err != nil {
+		l.log.Error("snapshot cannot be read", "error", err)
+		return
+	}
+	l.logBytes = 0
+	for i, w := range l.pending {
+		if i <= s.Index {
+			delete(l.pending, i)
+			w.done <- outcome{err: notch.New(notch.Unknown, "replaced by a snapshot")}
+		}
+	}
+	l.log.Info("snapshot installed", "index", s.Index)
+}
+
+// maybeCompact bounds the log, in memory and on disk.
+func (l *Lathe) maybeCompact() {
+	if l.node.LogSize() < 6000 && l.logBytes < 4<<20 {
+		return
+	}
+	data, err := l.store.Snapshot()
+	if err != nil {
+		l.log.Error("snapshot failed", "error", err)
+		l.logBytes = 0
+		return
+	}
+	s, ok := l.node.Compact(l.node.Applied(), data)
+	l.logBytes = 0
+	if ok {
+		l.disk <- diskJob{compact: &s}
+	}
+}
+
+// Close stops the actor at once.
+func (l *Lathe) Close() { l.stop() }
+
+// Resign hands leadership on, if this node has it, and waits a little for the
+// new leader.
+func (l *Lathe) Resign(wait time.Duration) {
+	l.closing.Store(true)
+	end := time.Now().Add(wait)
+	l.post(func() { l.node.Transfer() })
+	for time.Now().Before(end) {
+		l.mu.RLock()
+		v := l.view
+		l.mu.RUnlock()
+		if v.role != clamp.Leader && v.leader != 0 {
+			return
+		}
+		time.Sleep(l.timing.Tick)
+	}
+}
+
+type diskJob struct {
+	hard    *clamp.HardState
+	install *clamp.Snapshot
+	compact *clamp.Snapshot
+	entries []clamp.Entry
+	after   []clamp.Message
+}
+
+// writeDisk is the actor of the disk: all that waits goes into one sync.
+func (l *Lathe) writeDisk() {
+	for {
+		var job diskJob
+		select {
+		case <-l.ctx.Done():
+			return
+		case job = <-l.disk:
+		}
+		var next *diskJob
+		for more := true; more && job.install == nil; {
+			select {
+			case j := <-l.disk:
+				if j.install != nil {
+					next, more = &j, false
+					break
+				}
+				job = merge(job, j)
+			default:
+				more = false
+			}
+		}
+		l.save(job)
+		if next != nil {
+			l.save(*next)
+		}
+	}
+}
+
+func merge(a, b diskJob) diskJob {
+	if b.hard != nil {
+		a.hard = b.hard
+	}
+	if b.compact != nil {
+		a.compact = b.compact
+	}
+	if len(b.entries) > 0 {
+		at := b.entries[0].Index
+		i := len(a.entries)
+		for i > 0 && a.entries[i-1].Index >= at {
+			i--
+		}
+		if i == 0 {
+			a.entries = b.entries
+		} else {
+			a.entries = append(slices.Clip(a.entries[:i]), b.entries...)
+		}
+	}
+	a.after = append(a.after, b.after...)
+	return a
+}
+
+func (l *Lathe) save(j diskJob) {
+	if j.hard != nil || j.install != nil || j.compact != nil || len(j.entries) > 0 {
+		failed := false
+		for {
+			t := time.Now()
+			var err error
+			if j.install != nil {
+				err = l.chest.Replace(j.hard, j.install, j.entries)
+			} else {
+				err = l.chest.Save(j.hard, j.compact, j.entries)
+			}
+			l.nSync.Inc()
+			l.nSyncUS.Add(time.Since(t).Microseconds())
+			if err == nil {
+				break
+			}
+			l.nDiskFail.Inc()
+			if !failed {
+				failed = true
+				l.log.Error("disk refuses, nothing is promised until it takes the write", "error", err)
+			}
+			select {
+			case <-l.ctx.Done():
+				return
+			case <-time.After(l.timing.Heartbeat):
+			}
+		}
+		if failed {
+			l.log.Info("disk takes writes again")
+		}
+	}
+	l.links.send(j.after)
+	if n := len(j.entries); n > 0 {
+		last := j.entries[n-1]
+		l.post(func() { l.node.Persisted(last.Index, last.Term) })
+	}
+}
+
+// Do puts a command through the log, here or at the leader. An error of kind
+// Unavailable promises that nothing was done.
+func (l *Lathe) Do(cmd rack.Command) (rack.Result, error) {
+	end := time.Now().Add(l.timing.Answer)
+	var data []byte
+	for {
+		done := make(chan outcome, 1)
+		at := make(chan string, 1)
+		if !l.post(func() { at <- l.propose(cmd, done) }) {
+			return rack.Result{}, notch.New(notch.Unavailable, "node is stopping")
+		}
+		leader := <-at
+		switch leader {
+		case l.self.Addr:
+			return wait(done, time.Until(end), l.nUnknown)
+		case "":
+		default:
+			if data == nil {
+				data = rack.EncodeCommand(cmd)
+			}
+			ans, sent, err := l.links.ask(leader, &dowel.Ask{Command: data}, time.Until(end))
+			if err == nil && !ans.Failed {
+				return ans.Result, nil
+			}
+			if err != nil && sent {
+				l.nUnknown.Inc()
+				return rack.Result{}, notch.New(notch.Unknown, "leader did not answer")
+			}
+			if err == nil && ans.Kind != notch.Unavailable {
+				return rack.Result{}, &notch.Error{Kind: ans.Kind, Detail: ans.Detail}
+			}
+		}
+		if time.Until(end) < l.timing.Answer/2 {
+			return rack.Result{}, notch.New(notch.Unavailable, "no leader")
+		}
+		time.Sleep(l.timing.Tick)
+	}
+}
+
+func wait(done chan outcome, left time.Duration, unknown *dial.Counter) (rack.Result, error) {
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case o := <-done:
+		return o.result, o.err
+	case <-t.C:
+		unknown.Inc()
+		return rack.Result{}, notch.New(notch.Unknown, "no majority in time")
+	}
+}
+
+// propose runs in the actor. It gives the leader's address.
+func (l *Lathe) propose(cmd rack.Command, done chan outcome) string {
+	if l.node.Role() != clamp.Leader {
+		return l.links.addr(l.node.Leader())
+	}
+	if c := cmd.Latch; c != nil && c.Op == latch.Begin {
+		// Name the grant that has run out by this leader's steady clock.
+		spent := *c
+		spent.SpentFence, spent.SpentGrant = 0, 0
+		if k, held := l.store.Latches().Locks[c.Name]; held {
+			if t := l.locks[c.Name]; t.grant == k.Grant && l.now() >= t.until {
+				spent.SpentFence, spent.SpentGrant = k.Fence, k.Grant
+			}
+		}
+		cmd.Latch = &spent
+	}
+	index, term, ok := l.node.Propose(rack.EncodeCommand(cmd))
+	if !ok {
+		return ""
+	}
+	l.nProposals.Inc()
+	l.pending[index] = waiter{term, done}
+	return l.self.Addr
+}
+
+// ReadPoint returns once this node's state holds all that was acknowledged
+// before the call.
+func (l *Lathe) ReadPoint() error {
+	end := time.Now().Add(l.timing.Answer)
+	for {
+		done := make(chan outcome, 1)
+		at := make(chan string, 1)
+		if !l.post(func() { at <- l.readIndex(done) }) {
+			return notch.New(notch.Unavailable, "node is stopping")
+		}
+		leader := <-at
+		var index uint64
+		var err error = notch.New(notch.Unavailable, "no leader")
+		switch leader {
+		case l.self.Addr:
+			var r rack.Result
+			r, err = wait(done, time.Until(end), l.board.Counter("reads_unconfirmed_total"))
+			index = r.Revision
+		case "":
+		default:
+			var ans *dowel.Answer
+			ans, _, err = l.links.ask(leader, &dowel.Ask{Read: true}, time.Until(end))
+			if err == nil && ans.Failed {
+				err = &notch.Error{Kind: ans.Kind, Detail: ans.Detail}
+			} else if err == nil {
+				index = ans.Index
+			}
+		}
+		if err == nil {
+			return l.waitApplied(index, time.Until(end))
+		}
+		if time.Until(end) < l.timing.Answer/2 {
+			return notch.New(notch.Unavailable, "no confirmed read point")
+		}
+		time.Sleep(l.timing.Tick)
+	}
+}
+
+func (l *Lathe) readIndex(done chan outcome) string {
+	if l.node.Role() != clamp.Leader {
+		return l.links.addr(l.node.Leader())
+	}
+	l.readSeq++
+	l.reads[l.readSeq] = done
+	l.node.ReadIndex(l.readSeq)
+	return l.self.Addr
+}
+
+func (l *Lathe) waitApplied(index uint64, left time.Duration) error {
+	ch := make(chan struct{}, 1)
+	l.mu.Lock()
+	if l.index >= index {
+		l.mu.Unlock()
+		return nil
+	}
+	l.applied[ch] = index
+	l.mu.Unlock()
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-ch:
+		return nil
+	case <-t.C:
+		l.mu.Lock()
+		delete(l.applied, ch)
+		l.mu.Unlock()
+		return notch.New(notch.Unavailable, "this node lags behind")
+	}
+}
+
+// fresh tells whether this node has heard of the newest state lately.
+func (l *Lathe) fresh() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.view.freshAt != 0 && l.now()-l.view.freshAt <= l.timing.Election
+}
+
+// Status tells the node's state.
+func (l *Lathe) Status() *dowel.Status {
+	got := make(chan *dowel.Status, 1)
+	l.post(func() {
+		n := l.node
+		now := l.now()
+		s := &dowel.Status{Node: l.set.NodeName, ID: l.self.ID, Role: n.Role().String(), Term: n.Term(), Leader: n.Leader(), Commit: n.Commit(), Stable: n.Stable()}
+		ms := n.Members()
+		for _, m := range ms.All() {
+			st := dowel.NodeStatus{ID: m.ID, Addr: m.Addr, API: m.API, Voter: ms.Voter(m.ID), AgoMS: -1}
+			if n.Role() == clamp.Leader {
+				st.Match = n.Match(m.ID)
+				if m.ID != l.self.ID {
+					st.AgoMS = (now - n.Heard(m.ID)).Milliseconds()
+				} else {
+					st.AgoMS = 0
+				}
+			}
+			s.Members = append(s.Members, st)
+		}
+		got <- s
+	})
+	select {
+	case s := <-got:
+		l.mu.RLock()
+		defer l.mu.RUnlock()
+		s.Revision = l.store.Revision()
+		for _, o := range l.store.List(rack.EndpointPrefix) {
+			s.Endpoints++
+			if e, err := rack.DecodeEndpoint(o); err == nil && e.Draining {
+				s.Draining++
+			}
+		}
+		s.Config = l.configVersion()
+		for p := range l.sessions {
+			s.Proxies = append(s.Proxies, dowel.ProxyStatus{Node: p.node, Revision: p.acked.Load()})
+		}
+		return s
+	case <-l.ctx.Done():
+		return &dowel.Status{Node: l.set.NodeName}
+	}
+}
+
+// configVersion reads the version that stands before the stored text.
+func (l *Lathe) configVersion() uint64 {
+	o, ok := l.store.Get(rack.ConfigKey)
+	if !ok || len(o.Value) < 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(o.Value)
+}
--- /dev/null
+++ b/internal/lathe/link.go
@@ -0,0 +1,378 @@
+package lathe
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"net"
+	"sync"
+	"time"
+
+	"lichentray/clamp"
+	"lichentray/internal/dowel"
+	"lichentray/internal/notch"
+	"lichentray/rack"
+)
+
+// link is the outgoing connection to one peer. Its queue is bounded: what does
+// not fit is dropped, and consensus sends it again.
+type link struct {
+	addr  string
+	queue chan *dowel.Frame
+	mu    sync.Mutex
+	asks  map[uint64]chan *dowel.Answer
+	up    bool
+	stop  chan struct{}
+}
+
+type linkSet struct {
+	l      *Lathe
+	mu     sync.Mutex
+	byAddr map[string]*link
+	addrOf map[uint64]string
+	seen   string
+}
+
+// learn takes the addresses of a membership and ends links to those who left.
+func (s *linkSet) learn(ms clamp.Membership) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range ms.Voters {
+		s.addrOf[m.ID] = m.Addr
+	}
+	for _, m := range ms.Learners {
+		s.addrOf[m.ID] = m.Addr
+	}
+}
+
+func (s *linkSet) note(id uint64, addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id != 0 && addr != "" {
+		s.addrOf[id] = addr
+	}
+}
+
+func (s *linkSet) addr(id uint64) string {
+	if id == s.l.self.ID {
+		return s.l.self.Addr
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addrOf[id]
+}
+
+func (s *linkSet) get(addr string) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.byAddr[addr]
+	if k == nil {
+		k = &link{addr: addr, queue: make(chan *dowel.Frame, 256), asks: map[uint64]chan *dowel.Answer{}, stop: make(chan struct{})}
+		s.byAddr[addr] = k
+		go s.l.turnLink(k)
+	}
+	return k
+}
+
+// send queues messages for their peers, those of one peer in one frame.
+func (s *linkSet) send(ms []clamp.Message) {
+	for len(ms) > 0 {
+		to := ms[0].To
+		var mine, rest []clamp.Message
+		for _, m := range ms {
+			if m.To == to {
+				mine = append(mine, m)
+			} else {
+				rest = append(rest, m)
+			}
+		}
+		ms = rest
+		if addr := s.addr(to); addr != "" && addr != s.l.self.Addr {
+			select {
+			case s.get(addr).queue <- &dowel.Frame{Raft: mine}:
+			default:
+			}
+		}
+	}
+}
+
+var errNotSent = errors.New("lathe: peer is not connected")
+
+// ask sends a call to a peer and waits for its answer. sent tells whether the
+// peer may have got it.
+func (s *linkSet) ask(addr string, a *dowel.Ask, left time.Duration) (ans *dowel.Answer, sent bool, err error) {
+	k := s.get(addr)
+	a.ID = s.l.askSeq.Add(1)
+	ch := make(chan *dowel.Answer, 1)
+	k.mu.Lock()
+	if !k.up {
+		k.mu.Unlock()
+		return nil, false, errNotSent
+	}
+	k.asks[a.ID] = ch
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		delete(k.asks, a.ID)
+		k.mu.Unlock()
+	}()
+	select {
+	case k.queue <- &dowel.Frame{Ask: a}:
+	default:
+		return nil, false, errNotSent
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case ans := <-ch:
+		if ans == nil {
+			return nil, true, errors.New("lathe: connection to the peer broke")
+		}
+		return ans, true, nil
+	case <-t.C:
+		return nil, true, errors.New("lathe: peer did not answer")
+	}
+}
+
+// tell queues a frame without waiting.
+func (s *linkSet) tell(addr string, f *dowel.Frame) {
+	if addr == "" || addr == s.l.self.Addr {
+		return
+	}
+	select {
+	case s.get(addr).queue <- f:
+	default:
+	}
+}
+
+// turnLink keeps one link up.
+func (l *Lathe) turnLink(k *link) {
+	backoff := l.timing.Heartbeat / 2
+	for {
+		conn, err := dowel.Dial(l.ctx, k.addr, l.timing.Silence/2, dowel.Hello{Role: dowel.Peer, Node: l.set.NodeName, ID: l.self.ID, Addr: l.self.Addr})
+		if err != nil {
+			select {
+			case <-l.ctx.Done():
+				return
+			case <-time.After(backoff + time.Duration(rand.Int63n(int64(backoff)))):
+			}
+			backoff = min(backoff*2, l.timing.Election)
+			continue
+		}
+		conn.WriteTimeout = l.timing.Silence
+		backoff = l.timing.Heartbeat / 2
+		// What was queued while the peer was away is stale.
+		for len(k.queue) > 0 {
+			<-k.queue
+		}
+		k.mu.Lock()
+		k.up = true
+		k.mu.Unlock()
+		dead := make(chan struct{})
+		go func() {
+			defer close(dead)
+			defer conn.Close()
+			for {
+				f, err := conn.Receive(0)
+				if err != nil {
+					return
+				}
+				if f.Answer != nil {
+					k.mu.Lock()
+					ch := k.asks[f.Answer.ID]
+					delete(k.asks, f.Answer.ID)
+					k.mu.Unlock()
+					if ch != nil {
+						ch <- f.Answer
+					}
+				}
+			}
+		}()
+		for ok := true; ok; {
+			select {
+			case <-l.ctx.Done():
+				conn.Close()
+				return
+			case <-dead:
+				ok = false
+			case f := <-k.queue:
+				ok = conn.Send(f) == nil
+			}
+		}
+		conn.Close()
+		<-dead
+		k.mu.Lock()
+		k.up = false
+		for id, ch := range k.asks {
+			delete(k.asks, id)
+			ch <- nil
+		}
+		k.mu.Unlock()
+	}
+}
+
+func (l *Lathe) accept(ln net.Listener) {
+	go func() {
+		<-l.ctx.Done()
+		ln.Close()
+	}()
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if l.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(l.timing.Tick)
+			continue
+		}
+		go l.serve(raw)
+	}
+}
+
+// serve speaks with one process that connected.
+func (l *Lathe) serve(raw net.Conn) {
+	conn, hello, err := dowel.Accept(raw, l.timing.Silence)
+	if err != nil {
+		raw.Close()
+		l.refusePeer(raw, err)
+		return
+	}
+	defer conn.Close()
+	switch hello.Role {
+	case dowel.Peer:
+		l.servePeer(conn, hello)
+	case dowel.Proxy:
+		l.serveProxy(conn, hello)
+	case dowel.Tool:
+		l.serveTool(conn)
+	}
+}
+
+func (l *Lathe) refusePeer(raw net.Conn, err error) {
+	var ne net.Error
+	if errors.As(err, &ne) {
+		return // silence or a broken connection is no bad peer
+	}
+	l.nBadPeer.Inc()
+	if l.nBadPeer.Value() == 1 {
+		l.log.Warn("refused a peer that does not speak this wire (further ones are only counted)", "peer", raw.RemoteAddr().String(), "error", err)
+	}
+}
+
+func (l *Lathe) servePeer(conn *dowel.Conn, h dowel.Hello) {
+	l.links.note(h.ID, h.Addr)
+	for {
+		f, err := conn.Receive(0)
+		if err != nil {
+			return
+		}
+		if len(f.Raft) > 0 {
+			ms := f.Raft
+			l.post(func() {
+				now := l.now()
+				for _, m := range ms {
+					l.node.Step(now, m)
+				}
+			})
+		}
+		if len(f.Beats) > 0 {
+			bs := f.Beats
+			l.post(func() {
+				now := l.now()
+				for _, b := range bs {
+					l.alive[b.ID] = max(l.alive[b.ID], now-time.Duration(b.AgoMS)*time.Millisecond)
+				}
+			})
+		}
+		if p := f.Proxies; p != nil {
+			if p.Sum > 0 {
+				l.mu.Lock()
+				l.sum = p.Sum
+				l.mu.Unlock()
+			} else {
+				l.post(func() { l.counts[h.ID] = proxyCount{p.Here, l.now()} })
+			}
+		}
+		if f.Ask != nil {
+			go l.serveAsk(conn, f.Ask)
+		}
+	}
+}
+
+func failed(id uint64, err error) *dowel.Answer {
+	var e *notch.Error
+	if errors.As(err, &e) {
+		return &dowel.Answer{ID: id, Failed: true, Kind: e.Kind, Detail: e.Detail}
+	}
+	return &dowel.Answer{ID: id, Failed: true, Kind: notch.Internal, Detail: err.Error()}
+}
+
+// serveAsk answers a call that a peer forwarded. It does not forward again.
+func (l *Lathe) serveAsk(conn *dowel.Conn, a *dowel.Ask) {
+	ans := &dowel.Answer{ID: a.ID}
+	done := make(chan outcome, 1)
+	at := make(chan string, 1)
+	switch {
+	case a.Command != nil:
+		cmd, err := rack.DecodeCommand(a.Command)
+		if err != nil {
+			ans = failed(a.ID, notch.New(notch.BadRequest, "%v", err))
+			break
+		}
+		l.post(func() { at <- l.propose(cmd, done) })
+		ans = l.await(a.ID, at, done)
+	case a.Read:
+		l.post(func() { at <- l.readIndex(done) })
+		ans = l.await(a.ID, at, done)
+		ans.Index = ans.Result.Revision
+	case a.Join != nil:
+		if err := l.admit(*a.Join); err != nil {
+			ans = failed(a.ID, err)
+		}
+	case a.Status:
+		ans.Status = l.Status()
+	}
+	_ = conn.Send(&dowel.Frame{Answer: ans}) // a broken connection ends at its reader
+}
+
+func (l *Lathe) await(id uint64, at chan string, done chan outcome) *dowel.Answer {
+	select {
+	case leader := <-at:
+		if leader != l.self.Addr {
+			return failed(id, errNotLeader)
+		}
+	case <-l.ctx.Done():
+		return failed(id, errNotLeader)
+	}
+	r, err := wait(done, l.timing.Answer, l.nUnknown)
+	if err != nil {
+		return failed(id, err)
+	}
+	return &dowel.Answer{ID: id, Result: r}
+}
+
+// admit takes a node in as a learner; only the leader can.
+func (l *Lathe) admit(m clamp.Member) error {
+	got := make(chan error, 1)
+	l.post(func() {
+		switch {
+		case l.node.Role() != clamp.Leader:
+			got <- errNotLeader
+		case l.node.Members().Has(m.ID):
+			got <- nil
+		default:
+			if err := l.node.ProposeMembers(l.node.Members().WithLearner(m)); err != nil {
+				got <- notch.New(notch.Unavailable, "%v", err)
+				return
+			}
+			l.log.Info("node joins as a learner", "member", fmt.Sprintf("%016x", m.ID), "address", m.Addr)
+			got <- nil
+		}
+	})
+	select {
+	case err := <-got:
+		return err
+	case <-l.ctx.Done():
+		return errNotLeader
+	}
+}
--- /dev/null
+++ b/internal/lathe/session.go
@@ -0,0 +1,172 @@
+package lathe
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"lichentray/internal/dowel"
+	"lichentray/internal/notch"
+	"lichentray/rack"
+	"lichentray/spool"
+)
+
+// session is one proxy that lists and watches here.
+type session struct {
+	node  string
+	acked atomic.Uint64
+}
+
+// eventsAFrame bounds one frame of a stream.
+const eventsAFrame = 512
+
+// serveProxy answers a proxy's list and then streams to it. A proxy too slow
+// to take its stream is cut off and lists again.
+func (l *Lathe) serveProxy(conn *dowel.Conn, h dowel.Hello) {
+	s := &session{node: h.Node}
+	l.mu.Lock()
+	l.sessions[s] = struct{}{}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.sessions, s)
+		l.mu.Unlock()
+	}()
+	started := false
+	gone := make(chan struct{})
+	defer close(gone)
+	for {
+		f, err := conn.Receive(0)
+		if err != nil {
+			return
+		}
+		if f.Ack > 0 {
+			s.acked.Store(f.Ack)
+		}
+		if f.Ask == nil || started {
+			continue
+		}
+		ans, after := l.open(f.Ask)
+		if conn.Send(&dowel.Frame{Answer: ans}) != nil || ans.Failed {
+			return
+		}
+		if !ans.Gone {
+			started = true
+			go l.stream(conn, after, gone)
+		}
+	}
+}
+
+// open answers the first call of a proxy: a list behind a read point, or a
+// watch from a revision that this node must have reached.
+func (l *Lathe) open(a *dowel.Ask) (*dowel.Answer, uint64) {
+	if err := l.ReadPoint(); err != nil {
+		return failed(a.ID, err), 0
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	rev := l.store.Revision()
+	ans := &dowel.Answer{ID: a.ID, Revision: rev}
+	if rev < a.Least {
+		return failed(a.ID, notch.New(notch.Unavailable, "this node is at revision %d, behind %d", rev, a.Least)), 0
+	}
+	if a.Watch {
+		_, err := l.cache.Since(a.Least, 1)
+		ans.Gone = errors.Is(err, spool.ErrGone)
+		return ans, a.Least
+	}
+	l.nRelist.Inc()
+	ans.Objects = append(l.store.List(rack.EndpointPrefix), l.store.List(rack.ConfigKey)...)
+	return ans, rev
+}
+
+func (l *Lathe) bookmark() *dowel.Bookmark {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	b := &dowel.Bookmark{Revision: l.store.Revision(), Proxies: l.sum}
+	for _, m := range l.view.members.All() {
+		b.Control = append(b.Control, m.Addr)
+	}
+	return b
+}
+
+// stream sends events as they come and bookmarks while this node is in touch
+// with the newest state; without them the proxy looks for another node.
+func (l *Lathe) stream(conn *dowel.Conn, after uint64, gone chan struct{}) {
+	defer conn.Close()
+	wake := make(chan struct{}, 1)
+	l.mu.Lock()
+	l.wake[wake] = struct{}{}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.wake, wake)
+		l.mu.Unlock()
+	}()
+	mark := time.NewTicker(l.timing.Bookmark)
+	defer mark.Stop()
+	if conn.Send(&dowel.Frame{Bookmark: l.bookmark()}) != nil {
+		return
+	}
+	for {
+		l.mu.RLock()
+		events, err := l.cache.Since(after, eventsAFrame)
+		l.mu.RUnlock()
+		if err != nil {
+			_ = conn.Send(&dowel.Frame{Gone: true}) // it lists again either way
+			return
+		}
+		if n := len(events); n > 0 {
+			out := events[:0]
+			for _, e := range events {
+				if e.Object.Key == rack.ConfigKey || len(e.Object.Key) > len(rack.EndpointPrefix) && e.Object.Key[:len(rack.EndpointPrefix)] == rack.EndpointPrefix {
+					out = append(out, e)
+				}
+			}
+			after = events[n-1].Revision
+			if conn.Send(&dowel.Frame{Events: out, Bookmark: &dowel.Bookmark{Revision: after}}) != nil {
+				return
+			}
+			continue
+		}
+		select {
+		case <-gone:
+			return
+		case <-l.ctx.Done():
+			return
+		case <-wake:
+		case <-mark.C:
+			if l.closing.Load() {
+				return
+			}
+			// Events that came since go out before the mark that covers them.
+			b := l.bookmark()
+			l.mu.RLock()
+			rest, err := l.cache.Since(after, 1)
+			l.mu.RUnlock()
+			if len(rest) > 0 || err != nil || !l.fresh() {
+				poke(wake)
+				continue
+			}
+			if conn.Send(&dowel.Frame{Bookmark: b}) != nil {
+				return
+			}
+			after = max(after, b.Revision)
+		}
+	}
+}
+
+// serveTool answers the operator's command line.
+func (l *Lathe) serveTool(conn *dowel.Conn) {
+	for {
+		f, err := conn.Receive(l.timing.Answer * 10)
+		if err != nil {
+			return
+		}
+		if f.Ask != nil && f.Ask.Status {
+			if conn.Send(&dowel.Frame{Answer: &dowel.Answer{ID: f.Ask.ID, Status: l.Status()}}) != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/plane/follow.go
@@ -0,0 +1,155 @@
+package plane
+
+import (
+	"context"
+	"errors"
+	"math/rand"
+	"time"
+
+	"lichentray/internal/dowel"
+)
+
+// Follow keeps the copy up to date until the context ends: one list, then the
+// watch, from whichever control-plane node is in touch.
+func (p *Plane) Follow(ctx context.Context) {
+	sweep := time.Now()
+	var avoid string
+	pause := p.timing.Dial / 4
+	for ctx.Err() == nil {
+		good := false
+		for _, addr := range p.candidates(avoid) {
+			if ctx.Err() != nil {
+				return
+			}
+			began := time.Now()
+			if err := p.followOne(ctx, addr, &sweep); err != nil && time.Since(began) > p.timing.Silence*2 {
+				p.n.streamLost.Inc()
+				p.log.Info("stream lost", "from", addr, "error", err)
+				good = true
+				avoid = addr
+				break
+			}
+		}
+		if good {
+			pause = p.timing.Dial / 4
+			continue
+		}
+		avoid = ""
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + time.Duration(rand.Int63n(int64(pause)))):
+		}
+		pause = min(pause*2, p.timing.Call)
+	}
+}
+
+// candidates lists the control-plane nodes known: the one on this machine
+// first, then those learned from the stream and the seeds by lot.
+func (p *Plane) candidates(avoid string) []string {
+	seen := map[string]bool{}
+	var out []string
+	add := func(a string) {
+		if !seen[a] {
+			seen[a] = true
+			out = append(out, a)
+		}
+	}
+	for _, a := range p.control {
+		add(a)
+	}
+	for _, s := range *p.seeds.Load() {
+		add(p.set.InternalAddr(s))
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	own := p.set.InternalAddr(p.set.IP)
+	for i, a := range out {
+		if a == own && a != avoid {
+			out[0], out[i] = out[i], out[0]
+		}
+	}
+	for i, a := range out {
+		if a == avoid {
+			last := len(out) - 1
+			out[i], out[last] = out[last], out[i]
+			break
+		}
+	}
+	return out
+}
+
+var errQuiet = errors.New("plane: refused by the control-plane node")
+
+// followOne opens the stream at one node and follows it until it breaks or
+// falls quiet.
+func (p *Plane) followOne(ctx context.Context, addr string, sweep *time.Time) error {
+	conn, err := dowel.Dial(ctx, addr, p.timing.Call/2, dowel.Hello{Role: dowel.Proxy, Node: p.set.NodeName})
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	conn.WriteTimeout = p.timing.Silence
+	ask := &dowel.Ask{ID: 1, Least: p.mirror.Revision(), Watch: p.mirror.Listed(), List: !p.mirror.Listed()}
+	for {
+		if err := conn.Send(&dowel.Frame{Ask: ask}); err != nil {
+			return err
+		}
+		f, err := conn.Receive(p.timing.Call)
+		if err != nil {
+			return err
+		}
+		a := f.Answer
+		if a == nil || a.Failed {
+			return errQuiet
+		}
+		if a.Gone {
+			ask = &dowel.Ask{ID: ask.ID + 1, Least: p.mirror.Revision(), List: true}
+			continue
+		}
+		if ask.List {
+			p.n.lists.Inc()
+			if err := p.mirror.Reset(a.Revision, a.Objects); err != nil {
+				return err
+			}
+			p.rebuild()
+		} else {
+			p.n.watches.Inc()
+		}
+		break
+	}
+	p.log.Info("following", "from", addr, "revision", p.mirror.Revision())
+	acked := uint64(0)
+	for ctx.Err() == nil {
+		f, err := conn.Receive(p.timing.Silence)
+		if err != nil {
+			return err
+		}
+		for _, e := range f.Events {
+			p.takeEvent(e)
+		}
+		if b := f.Bookmark; b != nil {
+			p.mirror.Bookmark(b.Revision)
+			if len(b.Control) > 0 {
+				p.control = b.Control
+			}
+			p.setProxies(b.Proxies)
+		}
+		rev := p.mirror.Revision()
+		p.n.revision.Set(int64(rev))
+		if f.Gone {
+			return errors.New("plane: cut off as too slow")
+		}
+		if time.Since(*sweep) > time.Second {
+			*sweep = time.Now()
+			if r := p.routing.Load(); r != nil {
+				p.sweep(r.services)
+			}
+			if rev != acked {
+				acked = rev
+				if err := conn.Send(&dowel.Frame{Ack: rev}); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/plane/forward.go
@@ -0,0 +1,621 @@
+package plane
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lichentray/balance"
+	"lichentray/internal/notch"
+	"lichentray/jig"
+)
+
+// Answers are counted by route in these kinds.
+var answers = [6]string{"2xx", "4xx", "5xx", "unavailable", "bad_gateway", "deadline"}
+
+const (
+	// wholeBody is how much of an answer is held until it is whole; longer ones
+	// are passed on as they come.
+	wholeBody = 1 << 20
+	// prefetch is how much of a request's body is read before it is handled.
+	prefetch = 256 << 10
+)
+
+// request is one client's try on its way.
+type request struct {
+	ctx   *fasthttp.RequestCtx
+	route *jig.Route
+	stats *routeStats
+	svc   *service
+	head  []byte // request line and headers, without the end
+	body  []byte
+	feed  io.Reader // a long body, readable once
+	size  int       // of feed, or -1
+	id    []byte
+	began time.Time
+	until time.Time
+	given bool // the client named a deadline
+	isGet bool
+
+	// What is known of the tries so far.
+	arrived bool // an endpoint may have got it
+	ran     bool // an endpoint may have run it
+	fed     bool // feed was touched
+	tried   []*balance.Endpoint
+}
+
+var heads = sync.Pool{New: func() any { b := make([]byte, 0, 2048); return &b }}
+
+// Serve handles one request of a client.
+func (p *Plane) Serve(ctx *fasthttp.RequestCtx) {
+	p.n.requests.Inc()
+	p.inflight.Add(1)
+	defer p.inflight.Add(-1)
+	if p.stopping.Load() {
+		ctx.SetConnectionClose()
+	}
+	r := p.routing.Load()
+	if r == nil {
+		p.refuse(ctx, notch.New(notch.Unavailable, "no configuration yet"))
+		return
+	}
+	buf := heads.Get().(*[]byte)
+	defer heads.Put(buf)
+	req := request{ctx: ctx, began: ctx.Time(), isGet: ctx.IsHead()}
+	if err := req.read(r, (*buf)[:0]); err != nil {
+		if notch.Of(err) != notch.NoRoute {
+			ctx.SetConnectionClose()
+		}
+		p.refuse(ctx, err)
+		return
+	}
+	*buf = req.head
+	req.svc = r.services[req.route.Pick(rand.Float64())]
+	req.stats = r.routes[req.route.Index]
+	p.forward(&req)
+}
+
+// read checks the request's framing and builds what goes to the endpoint.
+func (q *request) read(r *routing, head []byte) error {
+	h := &q.ctx.Request.Header
+	limits := &r.table.Limits
+	raw := h.RawHeaders()
+	uri := h.RequestURI()
+	if limits.MaxHeaderBytes > 0 && float64(len(raw)+len(uri)) > limits.MaxHeaderBytes {
+		return notch.New(notch.HeaderTooLarge, "%d bytes", len(raw)+len(uri))
+	}
+	if len(uri) == 0 || uri[0] != '/' || bytes.IndexByte(uri, '#') >= 0 {
+		return notch.New(notch.BadRequest, "request target")
+	}
+	path := uri
+	if i := bytes.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	head = append(head, h.Method()...)
+	head = append(head, ' ')
+	head = append(head, uri...)
+	head = append(head, " HTTP/1.1\r\n"...)
+	var host, deadline, named []byte
+	hosts, lengths, encodings := 0, 0, 0
+	for rest := raw; len(rest) > 0; {
+		line := rest
+		if i := bytes.IndexByte(rest, '\n'); i >= 0 {
+			line, rest = rest[:i], rest[i+1:]
+		} else {
+			rest = nil
+		}
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		if len(line) == 0 {
+			break
+		}
+		i := bytes.IndexByte(line, ':')
+		if i <= 0 || !tokenChars(line[:i]) || bytes.ContainsAny(line, "\r\x00") {
+			return notch.New(notch.BadRequest, "header line")
+		}
+		name, value := line[:i], bytes.Trim(line[i+1:], " \t")
+		switch {
+		case equalFold(name, "host"):
+			host = value
+			hosts++
+		case equalFold(name, "content-length"):
+			if lengths++; len(value) == 0 || !digits(value) {
+				return notch.New(notch.BadRequest, "content-length")
+			}
+			continue
+		case equalFold(name, "transfer-encoding"):
+			if encodings++; !equalFold(value, "chunked") {
+				return notch.New(notch.BadRequest, "transfer-encoding")
+			}
+			continue
+		case equalFold(name, "x-deadline"):
+			deadline = value
+			continue
+		case equalFold(name, "connection"):
+			named = append(append(named, value...), ',')
+			continue
+		case hopByHop(name):
+			continue
+		case equalFold(name, "x-attempt-id"):
+			q.id = value
+		}
+		head = append(head, line...)
+		head = append(head, "\r\n"...)
+	}
+	if hosts != 1 || lengths+encodings > 1 {
+		return notch.New(notch.BadRequest, "host or framing headers are missing or double")
+	}
+	if len(named) > 0 {
+		head = dropNamed(head, named)
+	}
+	if q.route = r.table.Match(host, path); q.route == nil {
+		return notch.New(notch.NoRoute, "")
+	}
+	if q.route.Timeout > 0 {
+		q.until = q.began.Add(q.route.Timeout)
+	} else {
+		q.until = q.began.Add(10 * time.Minute)
+	}
+	if len(deadline) > 0 {
+		ms, err := strconv.ParseFloat(string(deadline), 64)
+		if err != nil || ms < 0 {
+			return notch.New(notch.BadRequest, "x-deadline")
+		}
+		if t := q.began.Add(time.Duration(min(ms, 1e9) * float64(time.Millisecond))); t.Before(q.until) {
+			q.until = t
+		}
+		q.given = true
+	}
+	q.head = head
+	most := limits.MaxBodyBytes
+	q.size = h.ContentLength()
+	if most > 0 && float64(q.size) > most {
+		return notch.New(notch.BodyTooLarge, "%d bytes", q.size)
+	}
+	if q.ctx.Request.IsBodyStream() {
+		feed := q.ctx.RequestBodyStream()
+		if most <= 0 {
+			most = 1 << 40
+		}
+		q.feed = &bounded{feed, int64(most)}
+		// What fits is held, so that it can be sent twice.
+		whole, err := io.ReadAll(io.LimitReader(q.feed, prefetch+1))
+		if err != nil {
+			if errors.Is(err, errTooLong) {
+				return notch.New(notch.BodyTooLarge, "over %d bytes", int64(most))
+			}
+			return notch.New(notch.BadRequest, "body")
+		}
+		if len(whole) <= prefetch {
+			q.body, q.feed, q.size = whole, nil, len(whole)
+		} else {
+			q.feed = io.MultiReader(bytes.NewReader(whole), q.feed)
+		}
+		return nil
+	}
+	q.body = q.ctx.Request.Body()
+	if most > 0 && float64(len(q.body)) > most {
+		return notch.New(notch.BodyTooLarge, "%d bytes", len(q.body))
+	}
+	return nil
+}
+
+var errTooLong = errors.New("plane: body is too long")
+
+// bounded fails when a body is longer than it may be.
+type bounded struct {
+	r    io.Reader
+	left int64
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		return 0, errTooLong
+	}
+	return n, err
+}
+
+func digits(b []byte) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+func tokenChars(b []byte) bool {
+	for _, c := range b {
+		if c <= ' ' || c >= 127 || bytes.IndexByte([]byte(`"(),/:;<=>?@[\]{}`), c) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// hopByHop names the headers that concern one connection only, and those that
+// this node writes itself.
+func hopByHop(name []byte) bool {
+	for _, s := range [...]string{"keep-alive", "proxy-connection", "te", "trailer", "upgrade", "expect", "x-target-instance"} {
+		if equalFold(name, s) {
+			return true
+		}
+	}
+	return false
+}
+
+// dropNamed removes the headers that a Connection header names.
+func dropNamed(head, named []byte) []byte {
+	for _, t := range bytes.Split(named, []byte{','}) {
+		t = bytes.TrimSpace(t)
+		if len(t) == 0 || equalFold(t, "close") || equalFold(t, "keep-alive") || equalFold(t, "host") || equalFold(t, "x-attempt-id") {
+			continue
+		}
+		lines := bytes.SplitAfter(head, []byte{'\n'})
+		out := append([]byte(nil), lines[0]...)
+		for _, l := range lines[1:] {
+			if i := bytes.IndexByte(l, ':'); i > 0 && equalFold(l[:i], string(t)) {
+				continue
+			}
+			out = append(out, l...)
+		}
+		head = out
+	}
+	return head
+}
+
+// outcome is how one try at one endpoint ended.
+type outcome struct {
+	answer *answer
+	u      *upstream
+	err    error
+	sent   bool // bytes of the request may have left
+}
+
+// exchange sends the request to one endpoint and reads its answer.
+func (p *Plane) exchange(q *request, e *balance.Endpoint, sh *shelf) outcome {
+	now := time.Now()
+	u := sh.take(now)
+	if u == nil {
+		var err error
+		if u, err = dialUpstream(e.Address, min(p.timing.Dial, q.until.Sub(now)), p.timing.Dark); err != nil {
+			p.n.dialFailed.Inc()
+			return outcome{err: err}
+		}
+		now = time.Now()
+	}
+	left := q.until.Sub(now)
+	if left <= 0 {
+		sh.put(u) // untouched
+		return outcome{err: errDeadline}
+	}
+	buf := heads.Get().(*[]byte)
+	defer heads.Put(buf)
+	b := append((*buf)[:0], q.head...)
+	b = append(b, "X-Deadline: "...)
+	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
+	b = append(b, "\r\nX-Target-Instance: "...)
+	b = append(b, e.ID...)
+	switch {
+	case q.feed != nil && q.size < 0:
+		b = append(b, "\r\nTransfer-Encoding: chunked"...)
+	case q.size > 0 || len(q.body) > 0 || !(q.isGet || q.ctx.IsGet()):
+		b = append(b, "\r\nContent-Length: "...)
+		n := len(q.body)
+		if q.feed != nil {
+			n = q.size
+		}
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	b = append(b, "\r\n\r\n"...)
+	b = append(b, q.body...)
+	*buf = b
+	if err := u.raw.SetDeadline(q.until); err != nil {
+		u.raw.Close()
+		return outcome{err: err}
+	}
+	n, err := u.raw.Write(b)
+	if err == nil && q.feed != nil {
+		q.fed = true
+		err = sendFeed(u, q)
+	}
+	if err != nil {
+		u.raw.Close()
+		return outcome{err: err, sent: n > 0}
+	}
+	a, err := readAnswer(u.br, q.isGet, wholeBody)
+	if err != nil {
+		u.raw.Close()
+		return outcome{err: err, sent: true}
+	}
+	if id := a.get("X-Attempt-Id"); id != nil && len(q.id) > 0 && !bytes.Equal(id, q.id) {
+		u.raw.Close()
+		return outcome{err: fmt.Errorf("%w: of another request", errAnswer), sent: true}
+	}
+	if a.status < 300 && a.get("X-Server-Signature") == nil {
+		u.raw.Close()
+		return outcome{err: fmt.Errorf("%w: success without a signature", errAnswer), sent: true}
+	}
+	if a.rest == nil {
+		p.shelve(sh, u, a)
+		u = nil
+	}
+	return outcome{answer: a, u: u, sent: true}
+}
+
+// shelve keeps a connection for the next request, if it may be used again.
+func (p *Plane) shelve(sh *shelf, u *upstream, a *answer) {
+	if !a.reuse || u.br.Buffered() > 0 {
+		u.raw.Close()
+		return
+	}
+	idle := p.timing.IdleUnsaid
+	if a.keep > 0 {
+		idle = a.keep - min(a.keep/2, time.Second)
+	}
+	u.until = time.Now().Add(idle)
+	sh.put(u)
+}
+
+var errDeadline = errors.New("plane: deadline reached")
+
+func sendFeed(u *upstream, q *request) error {
+	if q.size >= 0 {
+		n, err := io.Copy(u.raw, io.LimitReader(q.feed, int64(q.size)))
+		if err == nil && n != int64(q.size) {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := q.feed.Read(buf)
+		if n > 0 {
+			if _, werr := fmt.Fprintf(u.raw, "%x\r\n%s\r\n", n, buf[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			_, err = io.WriteString(u.raw, "0\r\n\r\n")
+			return err
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// forward tries endpoints until one answers or nothing more may be tried.
+func (p *Plane) forward(q *request) {
+	svc := q.svc
+	svc.mu.Lock()
+	svc.budget.Request(p.now())
+	svc.mu.Unlock()
+	skip := func(e *balance.Endpoint) bool {
+		for _, t := range q.tried {
+			if t == e {
+				return true
+			}
+		}
+		return false
+	}
+	var kind = notch.Unavailable
+	why := "no endpoint"
+	dials := 0
+	for sent := 0; sent < q.route.MaxAttempts && dials < 4; {
+		left := time.Until(q.until)
+		if left <= 0 {
+			kind, why = notch.Deadline, "deadline reached"
+			break
+		}
+		wait := min(q.route.Aim/6, left/4)
+		e, sh := svc.acquire(p, q.route.Priority, wait, skip)
+		if e == nil {
+			break
+		}
+		if q.arrived {
+			svc.mu.Lock()
+			ok := svc.budget.Spend(p.now())
+			svc.mu.Unlock()
+			if !ok {
+				p.n.budgetOut.Inc()
+				svc.release(p, e, true, 0)
+				break
+			}
+			p.n.retries.Inc()
+		}
+		began := time.Now()
+		o := p.exchange(q, e, sh)
+		took := time.Since(began)
+		q.tried = append(q.tried, e)
+		q.arrived = q.arrived || o.sent
+		if o.err != nil {
+			if errors.Is(o.err, errDeadline) {
+				svc.release(p, e, true, 0)
+				kind, why = notch.Deadline, "deadline reached"
+				break
+			}
+			svc.release(p, e, false, 0)
+			if errors.Is(o.err, errAnswer) {
+				p.n.badAnswers.Inc()
+			}
+			kind, why = notch.BadGateway, o.err.Error()
+			if !o.sent {
+				dials++
+				continue // never established: not run
+			}
+			sent++
+			q.ran = true
+			if time.Until(q.until) <= 0 {
+				kind = notch.Deadline
+			}
+			if !q.route.Repeatable || q.fed {
+				break
+			}
+			continue
+		}
+		sent++
+		a := o.answer
+		if a.get("X-Not-Executed") != nil || a.status == 421 {
+			// The endpoint's word that it has not run the request.
+			if o.u != nil {
+				o.u.raw.Close()
+			}
+			svc.turnedAway(p, e, a.status)
+			kind, why = notch.Unavailable, "endpoints turned the request away"
+			if q.fed {
+				break
+			}
+			continue
+		}
+		ok := a.status < 500
+		ratio := 0.0
+		if ok {
+			ratio = q.stats.learn(took.Seconds())
+		}
+		if a.status >= 500 && q.route.Repeatable && sent < q.route.MaxAttempts && o.u == nil && !q.fed && p.mayRepeat(svc) {
+			svc.release(p, e, true, 0)
+			q.ran = true
+			kind, why = notch.BadGateway, "endpoint failed"
+			continue
+		}
+		p.pass(q, svc, e, sh, o, ratio)
+		return
+	}
+	if q.ran {
+		if kind == notch.Unavailable {
+			kind = notch.BadGateway
+		}
+	} else {
+		kind = notch.Unavailable
+	}
+	q.stats.count(kind)
+	p.refuse(q.ctx, notch.New(kind, "%s", why))
+}
+
+// mayRepeat tells whether the budget would bear another try now.
+func (p *Plane) mayRepeat(s *service) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Left(p.now()) >= 1
+}
+
+// turnedAway takes an endpoint's word that it did not run a request.
+func (s *service) turnedAway(p *Plane, e *balance.Endpoint, status int) {
+	if status == 421 {
+		s.release(p, e, false, 0)
+		return
+	}
+	s.mu.Lock()
+	s.pool.Busy(p.now(), e)
+	s.mu.Unlock()
+	s.release(p, e, true, 0)
+}
+
+// learn takes the time of an answer and gives it over what is usual.
+func (s *routeStats) learn(took float64) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.usual == 0 {
+		s.usual = took
+	}
+	ratio := took / max(s.usual, 1e-4)
+	s.usual += 0.02 * (min(took, 4*s.usual) - s.usual)
+	return ratio
+}
+
+func (s *routeStats) count(k notch.Kind) {
+	switch k {
+	case notch.Unavailable:
+		s.answer[3].Inc()
+	case notch.BadGateway:
+		s.answer[4].Inc()
+	default:
+		s.answer[5].Inc()
+	}
+}
+
+// pass gives an endpoint's answer to the client.
+func (p *Plane) pass(q *request, svc *service, e *balance.Endpoint, sh *shelf, o outcome, ratio float64) {
+	a := o.answer
+	status := a.status
+	if !q.route.Repeatable && (status == 429 || status == 503 || status == 408) {
+		// These promise that the request has not run; the endpoint did not say so.
+		status = 502
+	}
+	q.stats.answer[max(0, min(2, status/200-1+status/500))].Inc()
+	resp := &q.ctx.Response
+	resp.SetStatusCode(status)
+	for _, h := range a.headers {
+		switch {
+		case equalFold(h.name, "connection"), equalFold(h.name, "keep-alive"), equalFold(h.name, "proxy-connection"),
+			equalFold(h.name, "transfer-encoding"), equalFold(h.name, "content-length"), equalFold(h.name, "trailer"), equalFold(h.name, "upgrade"):
+		default:
+			resp.Header.AddBytesKV(h.name, h.value)
+		}
+	}
+	if q.isGet && a.length >= 0 {
+		resp.SkipBody = true
+		resp.Header.SetContentLength(int(a.length))
+	}
+	if a.rest != nil {
+		resp.SetBodyStream(&tail{p: p, q: q, svc: svc, e: e, sh: sh, u: o.u, a: a, ratio: ratio}, int(a.length))
+		return
+	}
+	resp.SetBodyRaw(a.body)
+	svc.release(p, e, true, ratio)
+}
+
+// tail passes on the rest of a long answer as it comes.
+type tail struct {
+	p     *Plane
+	q     *request
+	svc   *service
+	e     *balance.Endpoint
+	sh    *shelf
+	u     *upstream
+	a     *answer
+	ratio float64
+	got   int64
+}
+
+func (t *tail) Read(b []byte) (int, error) {
+	n, err := t.a.rest.Read(b)
+	t.got += int64(n)
+	if errors.Is(err, io.EOF) && t.got < t.a.length {
+		err = io.ErrUnexpectedEOF // the client must not take a part for the whole
+	}
+	return n, err
+}
+
+// Close ends the exchange, whole or not.
+func (t *tail) Close() error {
+	whole := t.got == t.a.length
+	if whole {
+		t.p.shelve(t.sh, t.u, t.a)
+	} else {
+		t.u.raw.Close()
+	}
+	t.svc.release(t.p, t.e, whole, 0)
+	return nil
+}
+
+// refuse answers with an error of this system's own.
+func (p *Plane) refuse(ctx *fasthttp.RequestCtx, err error) {
+	kind := notch.Of(err)
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(kind.Status())
+	if s := kind.Status(); s == 503 || s == 429 {
+		p.n.refused.Inc()
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(0.1+0.1*rand.Float64(), 'f', 3, 64))
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(`{"error":"` + kind.String() + `"}`)
+}
--- /dev/null
+++ b/internal/plane/plane.go
@@ -0,0 +1,374 @@
+// Package plane is the proxy node: it keeps an exact copy of the registry,
+// takes requests from clients and forwards them to endpoints.
+package plane
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand"
+	"net"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lichentray/balance"
+	"lichentray/internal/caliper"
+	"lichentray/internal/dial"
+	"lichentray/jig"
+	"lichentray/rack"
+	"lichentray/spool"
+)
+
+// Timing are the node's own figures, all derived from the bounds.
+type Timing struct {
+	Dial       time.Duration // a new connection to an endpoint
+	Dark       time.Duration // unacknowledged bytes at an endpoint
+	Silence    time.Duration // of the stream from the control plane
+	Call       time.Duration // a list or watch to be answered
+	EjectBase  time.Duration
+	EjectMost  time.Duration
+	IdleUnsaid time.Duration // an idle connection whose endpoint names no time
+}
+
+// TimingOf derives the figures.
+func TimingOf(s *caliper.Settings) Timing {
+	contact := s.Bounds.Contact.D()
+	fast := min(s.Bounds.Drain.D(), s.Bounds.ConfigApply.D())
+	return Timing{
+		Dial:       contact / 20,
+		Dark:       contact / 6,
+		Silence:    fast * 3 / 10,
+		Call:       fast / 4,
+		EjectBase:  contact / 6,
+		EjectMost:  contact,
+		IdleUnsaid: contact,
+	}
+}
+
+// Plane is a running proxy node.
+type Plane struct {
+	set    *caliper.Settings
+	timing Timing
+	log    *slog.Logger
+	board  *dial.Board
+	start  time.Time
+	seeds  atomic.Pointer[[]string]
+
+	routing  atomic.Pointer[routing]
+	stopping atomic.Bool
+	inflight atomic.Int64
+	proxies  atomic.Int64
+
+	// Owned by the follower goroutine.
+	mirror   *spool.Mirror
+	control  []string
+	services map[string]*service
+
+	n counters
+}
+
+type counters struct {
+	requests, retries, budgetOut, ejected, refused, streamLost, lists, watches, resumed, badAnswers, dialFailed, hedges *dial.Counter
+	revision, config                                                                                                    *dial.Counter
+}
+
+// routing is what one request is handled by, swapped whole.
+type routing struct {
+	table    *jig.Table
+	services []*service
+	routes   []*routeStats
+}
+
+type routeStats struct {
+	name   string
+	mu     sync.Mutex
+	usual  float64 // seconds of an ordinary answer
+	answer [6]*dial.Counter
+}
+
+// service is the pool of one service and what this node keeps beside it.
+type service struct {
+	name    string
+	mu      sync.Mutex
+	pool    *balance.Pool
+	budget  *balance.Budget
+	shelves map[*balance.Endpoint]*shelf
+	queue   []*queued
+	seq     uint64
+}
+
+type queued struct {
+	priority int
+	seq      uint64
+	wake     chan struct{}
+}
+
+// New makes a proxy node that knows nothing yet.
+func New(set *caliper.Settings, log *slog.Logger, board *dial.Board) *Plane {
+	p := &Plane{set: set, timing: TimingOf(set), log: log, board: board, start: time.Now(), mirror: spool.NewMirror(), services: map[string]*service{}}
+	p.seeds.Store(&set.Seeds)
+	c := board.Counter
+	p.n = counters{
+		requests: c("requests_total"), retries: c("retries_total"), budgetOut: c("retry_budget_refused_total"),
+		ejected: c("ejections_total"), refused: c("refused_total"), streamLost: c("stream_lost_total"),
+		lists: c("stream_lists_total"), watches: c("stream_watches_total"), resumed: c("stream_resumed_total"),
+		badAnswers: c("endpoint_bad_answers_total"), dialFailed: c("endpoint_dial_failures_total"), hedges: c("hedges_total"),
+		revision: c("registry_revision"), config: c("config_version"),
+	}
+	return p
+}
+
+// SetSeeds takes the seed addresses of a settings file that has changed.
+func (p *Plane) SetSeeds(seeds []string) {
+	p.seeds.Store(&seeds)
+	p.log.Info("settings read again", "seeds", fmt.Sprint(seeds))
+}
+
+func (p *Plane) now() time.Duration { return time.Since(p.start) }
+
+// Ready tells whether this node wants new connections.
+func (p *Plane) Ready() bool { return !p.stopping.Load() && p.routing.Load() != nil }
+
+func (p *Plane) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{
+			name: name, shelves: map[*balance.Endpoint]*shelf{},
+			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.25}),
+			budget: balance.NewBudget(p.set.Bounds.RetryBudgetRatio*0.8, 1, p.set.Bounds.BudgetWindow.D()),
+		}
+		p.services[name] = s
+	}
+	return s
+}
+
+// setProxies takes how many proxy nodes there are: slack and connections are
+// shared among them.
+func (p *Plane) setProxies(n int) {
+	if n < 1 || p.proxies.Swap(int64(n)) == int64(n) {
+		return
+	}
+	for _, s := range p.services {
+		p.share(s)
+	}
+}
+
+func (p *Plane) share(s *service) {
+	n := int(p.proxies.Load())
+	if n < 1 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// Half of the slack is kept back for nodes that are not counted yet.
+	s.budget.SetSlack(max(1, p.set.Bounds.RetryBudgetSlack/2/float64(n)))
+	s.pool.SetPeers(n)
+}
+
+// rebuild takes the whole copy, as after a list.
+func (p *Plane) rebuild() {
+	have := map[string]bool{}
+	for _, o := range p.mirror.Objects() {
+		have[o.Key] = true
+		p.takeObject(o, false)
+	}
+	for _, s := range p.services {
+		s.mu.Lock()
+		var gone []string
+		for _, e := range s.pool.Endpoints() {
+			if !have[rack.EndpointPrefix+e.ID] {
+				gone = append(gone, e.ID)
+			}
+		}
+		s.mu.Unlock()
+		for _, id := range gone {
+			s.remove(id)
+		}
+	}
+}
+
+func (s *service) remove(id string) {
+	s.mu.Lock()
+	e := s.pool.Remove(id)
+	sh := s.shelves[e]
+	delete(s.shelves, e)
+	s.mu.Unlock()
+	if sh != nil {
+		sh.close()
+	}
+}
+
+// takeObject takes one object's new state. live tells that it has just
+// happened.
+func (p *Plane) takeObject(o rack.Object, live bool) {
+	if o.Key == rack.ConfigKey {
+		p.takeConfig(o)
+		return
+	}
+	e, err := rack.DecodeEndpoint(o)
+	if err != nil {
+		p.log.Error("endpoint cannot be read", "key", o.Key, "error", err)
+		return
+	}
+	cold := time.Duration(0)
+	if live {
+		cold = time.Duration(e.ColdS * float64(time.Second))
+	}
+	s := p.service(e.Service)
+	s.mu.Lock()
+	ep := s.pool.Set(p.now(), balance.Spec{ID: e.ID, Address: e.Address, Zone: e.Zone, Capacity: e.Capacity, Draining: e.Draining}, cold)
+	sh := s.shelves[ep]
+	if sh == nil {
+		sh = new(shelf)
+		s.shelves[ep] = sh
+	}
+	s.mu.Unlock()
+	if e.Draining {
+		sh.close()
+	}
+}
+
+func (p *Plane) takeEvent(e rack.Event) {
+	if !p.mirror.Apply(e) {
+		return
+	}
+	if e.Type != rack.Deleted {
+		p.takeObject(e.Object, true)
+		return
+	}
+	id := e.Object.Key[len(rack.EndpointPrefix):]
+	for _, s := range p.services {
+		s.remove(id)
+	}
+}
+
+// takeConfig compiles a configuration and puts it in force, whole.
+func (p *Plane) takeConfig(o rack.Object) {
+	if len(o.Value) < 8 {
+		return
+	}
+	c, err := jig.Read(o.Value[8:])
+	if err != nil {
+		p.log.Error("configuration cannot be read, the old one stays", "error", err)
+		return
+	}
+	old := p.routing.Load()
+	if old != nil && old.table.Version >= c.Version {
+		return // never back
+	}
+	r := &routing{table: jig.Compile(c)}
+	stats := map[string]*routeStats{}
+	if old != nil {
+		for _, s := range old.routes {
+			stats[s.name] = s
+		}
+	}
+	for _, cl := range r.table.Services {
+		s := p.service(cl.Name)
+		p.share(s)
+		s.mu.Lock()
+		s.pool.SetConnections(int(cl.MaxConnections))
+		s.mu.Unlock()
+		r.services = append(r.services, s)
+	}
+	for _, rt := range r.table.Routes {
+		st := stats[rt.Name]
+		if st == nil {
+			st = &routeStats{name: rt.Name}
+			for i, what := range answers {
+				st.answer[i] = p.board.Counter("answers_total", "route", rt.Name, "answer", what)
+			}
+		}
+		r.routes = append(r.routes, st)
+	}
+	p.routing.Store(r)
+	p.n.config.Set(int64(c.Version))
+	p.log.Info("configuration in force", "version", c.Version)
+}
+
+// sweep closes idle connections whose time is up.
+func (p *Plane) sweep(services []*service) {
+	now := time.Now()
+	for _, s := range services {
+		s.mu.Lock()
+		all := make([]*shelf, 0, len(s.shelves))
+		for _, sh := range s.shelves {
+			all = append(all, sh)
+		}
+		s.mu.Unlock()
+		for _, sh := range all {
+			sh.sweep(now)
+		}
+	}
+}
+
+// acquire picks an endpoint, waiting for a free place up to wait.
+func (s *service) acquire(p *Plane, priority int, wait time.Duration, skip func(*balance.Endpoint) bool) (*balance.Endpoint, *shelf) {
+	s.mu.Lock()
+	e := s.pool.Pick(p.now(), rand.Float64, skip)
+	if e != nil || wait <= 0 {
+		sh := s.shelves[e]
+		s.mu.Unlock()
+		return e, sh
+	}
+	q := &queued{priority: priority, seq: s.seq, wake: make(chan struct{}, 1)}
+	s.seq++
+	s.queue = append(s.queue, q)
+	sort.SliceStable(s.queue, func(i, j int) bool {
+		return s.queue[i].priority < s.queue[j].priority
+	})
+	s.mu.Unlock()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		over := false
+		select {
+		case <-q.wake:
+		case <-t.C:
+			over = true
+		}
+		s.mu.Lock()
+		e = s.pool.Pick(p.now(), rand.Float64, skip)
+		if e != nil || over {
+			for i, x := range s.queue {
+				if x == q {
+					s.queue = append(s.queue[:i], s.queue[i+1:]...)
+					break
+				}
+			}
+			sh := s.shelves[e]
+			s.mu.Unlock()
+			return e, sh
+		}
+		s.mu.Unlock()
+	}
+}
+
+// release gives an endpoint's place back and wakes the first in the queue.
+func (s *service) release(p *Plane, e *balance.Endpoint, ok bool, took float64) {
+	s.mu.Lock()
+	s.pool.Done(p.now(), e, ok, took)
+	var first *queued
+	if len(s.queue) > 0 {
+		first = s.queue[0]
+	}
+	s.mu.Unlock()
+	if !ok {
+		p.n.ejected.Inc()
+	}
+	if first != nil {
+		select {
+		case first.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func hostOf(addr string) string {
+	h, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	return h
+}
--- /dev/null
+++ b/rack/rack.go
@@ -0,0 +1,227 @@
+// Package rack is the replicated registry (a multi-version key-value state
+// machine): objects under a key per kind and name, conditional transactions,
+// one global revision, and the locks, numbers and cells of latch beside them.
+//
+// It does no input or output and reads no clock. Feed every replica the same
+// commands in the same order and all hold the same state.
+package rack
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"lichentray/latch"
+)
+
+// Object is one entry. ModRevision is the global revision of its last write.
+type Object struct {
+	Key            string
+	Value          []byte
+	CreateRevision uint64
+	ModRevision    uint64
+}
+
+// Condition asks that a key's last write has a revision; 0 asks that there is
+// no such key.
+type Condition struct {
+	Key         string
+	ModRevision uint64
+}
+
+// Write puts or deletes one key.
+type Write struct {
+	Key    string
+	Value  []byte
+	Delete bool
+}
+
+// Txn carries out all its writes if all its conditions hold, else none.
+type Txn struct {
+	If   []Condition
+	Then []Write
+}
+
+// Command is one entry of the log: a transaction or a latch command.
+type Command struct {
+	Txn   *Txn
+	Latch *latch.Command
+}
+
+// Result is what a command gave. On Conflict nothing was written and Current
+// holds the objects that stood in the way.
+type Result struct {
+	Revision uint64
+	Conflict bool
+	Current  []Object
+	Latch    latch.Result
+}
+
+// EventType names what happened to an object.
+type EventType uint8
+
+// The kinds of event on a watch.
+const (
+	Added EventType = iota + 1
+	Modified
+	Deleted
+)
+
+// Event is one change to one object at one global revision.
+type Event struct {
+	Type     EventType
+	Object   Object
+	Revision uint64
+}
+
+// Store is the state machine.
+type Store struct {
+	revision uint64
+	objects  map[string]Object
+	latches  *latch.Table
+}
+
+// New makes an empty store.
+func New() *Store { return &Store{objects: map[string]Object{}, latches: latch.NewTable()} }
+
+// Revision is the global revision of the last success.
+func (s *Store) Revision() uint64 { return s.revision }
+
+// Latches gives the locks and cells for reading.
+func (s *Store) Latches() *latch.Table { return s.latches }
+
+// Get reads one object.
+func (s *Store) Get(key string) (Object, bool) {
+	o, ok := s.objects[key]
+	return o, ok
+}
+
+// List reads all objects whose key begins with prefix, sorted by key, all true
+// at the store's revision.
+func (s *Store) List(prefix string) []Object {
+	var out []Object
+	for k, o := range s.objects {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, o)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
+// Apply carries out one command and tells what changed.
+func (s *Store) Apply(c Command) (Result, []Event) {
+	if c.Latch != nil {
+		r := s.latches.Apply(s.revision+1, *c.Latch)
+		if r.Code == latch.OK {
+			s.revision++
+		}
+		return Result{Revision: s.revision, Latch: r}, nil
+	}
+	if c.Txn == nil {
+		return Result{Revision: s.revision}, nil
+	}
+	var blocked []Object
+	conflict := false
+	for _, cond := range c.Txn.If {
+		o := s.objects[cond.Key]
+		if o.ModRevision != cond.ModRevision {
+			conflict = true
+			if o.ModRevision != 0 {
+				blocked = append(blocked, o)
+			}
+		}
+	}
+	if conflict {
+		return Result{Revision: s.revision, Conflict: true, Current: blocked}, nil
+	}
+	s.revision++
+	events := make([]Event, 0, len(c.Txn.Then))
+	for _, w := range c.Txn.Then {
+		old, had := s.objects[w.Key]
+		if w.Delete {
+			if had {
+				delete(s.objects, w.Key)
+				events = append(events, Event{Type: Deleted, Object: Object{Key: w.Key, ModRevision: s.revision}, Revision: s.revision})
+			}
+			continue
+		}
+		o := Object{Key: w.Key, Value: w.Value, CreateRevision: old.CreateRevision, ModRevision: s.revision}
+		typ := Modified
+		if !had {
+			o.CreateRevision, typ = s.revision, Added
+		}
+		s.objects[w.Key] = o
+		events = append(events, Event{Type: typ, Object: o, Revision: s.revision})
+	}
+	return Result{Revision: s.revision}, events
+}
+
+type image struct {
+	Revision uint64
+	Objects  []Object
+	Latches  *latch.Table
+}
+
+// Snapshot writes the whole state.
+func (s *Store) Snapshot() ([]byte, error) {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(image{s.revision, s.List(""), s.latches}); err != nil {
+		return nil, fmt.Errorf("rack: snapshot: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// Restore replaces the state by a snapshot; on an error nothing changes.
+func (s *Store) Restore(data []byte) error {
+	im := image{Latches: latch.NewTable()}
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&im); err != nil {
+		return fmt.Errorf("rack: restore: %w", err)
+	}
+	objects := make(map[string]Object, len(im.Objects))
+	for _, o := range im.Objects {
+		objects[o.Key] = o
+	}
+	s.revision, s.objects, s.latches = im.Revision, objects, im.Latches
+	return nil
+}
+
+// Keys of the kinds of object.
+const (
+	EndpointPrefix = "endpoints/"
+	DepartedPrefix = "departed/"
+	ConfigKey      = "configuration/current"
+)
+
+// Endpoint is one life of one server, as kept under EndpointPrefix + its id.
+type Endpoint struct {
+	ID       string  `json:"id"`
+	Service  string  `json:"service"`
+	Address  string  `json:"address"`
+	Zone     string  `json:"zone"`
+	Capacity int     `json:"capacity"`
+	Draining bool    `json:"draining,omitempty"`
+	Sequence uint64  `json:"sequence"`
+	ColdS    float64 `json:"cold_s,omitempty"`
+}
+
+// Key is where the endpoint stands.
+func (e Endpoint) Key() string { return EndpointPrefix + e.ID }
+
+// Encode writes the endpoint as an object's value.
+func (e Endpoint) Encode() []byte {
+	b, _ := json.Marshal(e) // a struct of plain fields always encodes
+	return b
+}
+
+// DecodeEndpoint reads an object's value.
+func DecodeEndpoint(o Object) (Endpoint, error) {
+	var e Endpoint
+	if err := json.Unmarshal(o.Value, &e); err != nil {
+		return e, fmt.Errorf("rack: endpoint %s: %w", o.Key, err)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/spool/spool.go
@@ -0,0 +1,148 @@
+// Package spool is the cacher and the watch stream (watch cache with a sliding
+// event window, and the reflector's mirror on the other end).
+//
+// A Cacher follows the store's changes and keeps the newest of them. A watcher
+// is only a cursor into that window: however slow it is, it holds up nobody,
+// and once its cursor has left the window it is told Gone and lists again. A
+// Mirror is the exact copy that a reader builds from one list and the events
+// after it. Neither does input or output, reads a clock or starts a goroutine.
+package spool
+
+import (
+	"errors"
+	"sort"
+	"time"
+
+	"lichentray/rack"
+)
+
+// ErrGone says that the cursor is older than the window: list again.
+var ErrGone = errors.New("spool: revision is older than the event window")
+
+// ErrAhead says that the cursor is newer than this cache: it lags behind the
+// reader and must not serve it.
+var ErrAhead = errors.New("spool: revision is newer than this cache")
+
+type slot struct {
+	event rack.Event
+	at    time.Duration
+}
+
+// Cacher holds the window of recent events.
+type Cacher struct {
+	window   time.Duration
+	most     int
+	slots    []slot
+	floor    uint64 // highest revision that is no longer, or never was, in the window
+	revision uint64
+}
+
+// NewCacher makes a cache that keeps events for window, most of them at most.
+func NewCacher(window time.Duration, most int) *Cacher { return &Cacher{window: window, most: most} }
+
+// Reset starts over from a store's state at a revision, as after a snapshot:
+// no earlier event is known.
+func (c *Cacher) Reset(revision uint64) {
+	c.slots, c.floor, c.revision = nil, revision, revision
+}
+
+// Append takes the events of one write and the revision that it brought.
+func (c *Cacher) Append(now time.Duration, revision uint64, events []rack.Event) {
+	c.revision = revision
+	for _, e := range events {
+		c.slots = append(c.slots, slot{e, now})
+	}
+	n := 0
+	for n < len(c.slots) && (now-c.slots[n].at > c.window || len(c.slots)-n > c.most) {
+		c.floor = c.slots[n].event.Revision
+		n++
+	}
+	// A write's events leave the window together.
+	for n > 0 && n < len(c.slots) && c.slots[n].event.Revision == c.floor {
+		n++
+	}
+	if n > 0 {
+		c.slots = append([]slot(nil), c.slots[n:]...)
+	}
+}
+
+// Revision is the newest revision known.
+func (c *Cacher) Revision() uint64 { return c.revision }
+
+// Since gives the events above a revision, at most most of them but never part
+// of one write.
+func (c *Cacher) Since(after uint64, most int) ([]rack.Event, error) {
+	if after > c.revision {
+		return nil, ErrAhead
+	}
+	if after < c.floor {
+		return nil, ErrGone
+	}
+	i := sort.Search(len(c.slots), func(i int) bool { return c.slots[i].event.Revision > after })
+	var out []rack.Event
+	for ; i < len(c.slots); i++ {
+		e := c.slots[i].event
+		if len(out) >= most && e.Revision != out[len(out)-1].Revision {
+			break
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
+// Mirror is a reader's exact copy. It never goes back.
+type Mirror struct {
+	revision uint64
+	listed   bool
+	objects  map[string]rack.Object
+}
+
+// NewMirror makes a copy that knows nothing yet.
+func NewMirror() *Mirror { return &Mirror{objects: map[string]rack.Object{}} }
+
+// Revision is the revision up to which the copy is exact.
+func (m *Mirror) Revision() uint64 { return m.revision }
+
+// Listed tells whether a list has been taken.
+func (m *Mirror) Listed() bool { return m.listed }
+
+// Objects gives the copy's content.
+func (m *Mirror) Objects() map[string]rack.Object { return m.objects }
+
+// Reset takes a list at a revision. A list older than the copy is refused.
+func (m *Mirror) Reset(revision uint64, objects []rack.Object) error {
+	if m.listed && revision < m.revision {
+		return ErrAhead
+	}
+	fresh := make(map[string]rack.Object, len(objects))
+	for _, o := range objects {
+		fresh[o.Key] = o
+	}
+	m.revision, m.listed, m.objects = revision, true, fresh
+	return nil
+}
+
+// Apply takes one event; one that is already contained changes nothing.
+func (m *Mirror) Apply(e rack.Event) (changed bool) {
+	old, had := m.objects[e.Object.Key]
+	if had && old.ModRevision >= e.Revision {
+		return false
+	}
+	if e.Revision < m.revision {
+		return false
+	}
+	m.revision = e.Revision
+	if e.Type == rack.Deleted {
+		delete(m.objects, e.Object.Key)
+	} else {
+		m.objects[e.Object.Key] = e.Object
+	}
+	return true
+}
+
+// Bookmark moves the copy's revision forward without a change.
+func (m *Mirror) Bookmark(revision uint64) {
+	if revision > m.revision {
+		m.revision = revision
+	}
+}
