--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -105,7 +105,11 @@
 	}()
 	mark := time.NewTicker(l.timing.Bookmark)
 	defer mark.Stop()
-	if conn.Send(&dowel.Frame{Bookmark: l.bookmark()}) != nil {
+	// The first mark tells whom else to ask; it must not cover events that are
+	// still to be sent.
+	first := l.bookmark()
+	first.Revision = after
+	if conn.Send(&dowel.Frame{Bookmark: first}) != nil {
 		return
 	}
 	for {
