--- a/clamp/node.go
+++ b/clamp/node.go
@@ -79,7 +79,8 @@
 	for _, e := range n.entries {
 		n.noteMembership(e)
 	}
-	n.reset(0)
+	// A node that has just started has no leader to disturb: PreVote asks first.
+	n.hurry()
 	return n
 }
 
@@ -111,6 +112,9 @@
 // Members is the newest membership in the log, committed or not.
 func (n *Node) Members() Membership { return n.memberships[len(n.memberships)-1].members }
 
+// MembersIndex is where the newest membership stands in the log.
+func (n *Node) MembersIndex() uint64 { return n.memberships[len(n.memberships)-1].index }
+
 // ID, Term, Role, Leader, Commit, Applied, Stable and Last tell the state.
 func (n *Node) ID() uint64     { return n.cfg.ID }
 func (n *Node) Term() uint64   { return n.hard.Term }
@@ -156,6 +160,12 @@
 	n.deadline = n.now + n.cfg.Election + time.Duration(n.cfg.Rand(span))
 }
 
+// hurry sets a short election timer. It is for nodes that only ask whether an
+// election would be welcome, which disturbs nobody.
+func (n *Node) hurry() {
+	n.deadline = n.now + n.cfg.Heartbeat + time.Duration(n.cfg.Rand(int64(n.cfg.Election/2)))
+}
+
 func (n *Node) become(role Role, term, leader uint64) {
 	if term != n.hard.Term {
 		n.hard = HardState{Term: term}
@@ -183,7 +193,7 @@
 		return
 	}
 	if now >= n.deadline {
-		n.deadline = now + n.cfg.Election + time.Duration(n.cfg.Rand(int64(n.cfg.Election)))
+		n.reset(n.leader)
 		if n.Members().Voter(n.cfg.ID) {
 			n.campaign(PreCandidate, false)
 		} else {
@@ -310,6 +320,7 @@
 		n.hardDirty = true
 	} else {
 		n.become(PreCandidate, term, 0)
+		n.hurry()
 		term++
 	}
 	n.forced = force
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -88,6 +88,7 @@
 		return ExitSettings
 	}
 	log := dial.Log(set.NodeName, program)
+	log.Info("starting", "version", Version)
 	sig := &Signals{Stop: make(chan struct{}), Changed: make(chan *caliper.Settings, 1)}
 	term, hup := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -45,7 +45,7 @@
 	return Timing{
 		Tick:      contact / 150,
 		Heartbeat: contact / 50,
-		Election:  contact * 2 / 15,
+		Election:  contact / 10,
 		Dead:      contact / 2,
 		Silence:   contact / 4,
 		Bookmark:  min(s.Bounds.Drain.D(), s.Bounds.ConfigApply.D()) / 10,
@@ -94,8 +94,7 @@
 	checkedAt time.Duration
 	trimAt    time.Duration
 	marks     []mark
-	members   int // version of the links' addresses
-	memberKey string
+	membersAt uint64 // log index of the membership that the links follow
 	counts    map[uint64]proxyCount
 
 	// Shared behind a short lock.
@@ -233,6 +232,8 @@
 	}
 	l.node = clamp.New(clamp.Config{ID: id.ID, Heartbeat: l.timing.Heartbeat, Election: l.timing.Election, Rand: rand.Int63n}, 0, saved)
 	l.links = linkSet{l: l, byAddr: map[string]*link{}, addrOf: map[uint64]string{}}
+	l.membersAt = l.node.MembersIndex()
+	l.links.learn(l.node.Members())
 
 	ln, err := net.Listen("tcp4", addr)
 	if err != nil {
@@ -336,7 +337,10 @@
 		l.role, l.leader = role, leader
 	}
 	ms := n.Members()
-	l.links.learn(ms)
+	if at := n.MembersIndex(); at != l.membersAt {
+		l.membersAt = at
+		l.links.learn(ms)
+	}
 	v := view{role: role, leader: leader, term: n.Term(), members: ms, commit: n.Commit(), stable: n.Stable()}
 	v.leaderAt = l.links.addr(leader)
 	if role == clamp.Leader {
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -35,13 +35,23 @@
 
 // learn takes the addresses of a membership and ends links to those who left.
 func (s *linkSet) learn(ms clamp.Membership) {
+	member := map[string]bool{}
+	for _, m := range ms.All() {
+		member[m.Addr] = true
+	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, m := range ms.Voters {
-		s.addrOf[m.ID] = m.Addr
+	for addr, k := range s.byAddr {
+		if len(member) > 0 && !member[addr] {
+			close(k.stop)
+			delete(s.byAddr, addr)
+		}
 	}
-	for _, m := range ms.Learners {
-		s.addrOf[m.ID] = m.Addr
+	s.mu.Unlock()
+	for _, m := range ms.All() {
+		s.note(m.ID, m.Addr)
+		if m.ID != s.l.self.ID && m.Addr != s.l.self.Addr {
+			s.get(m.Addr) // begins to connect ahead of the first message
+		}
 	}
 }
 
@@ -154,6 +164,8 @@
 			select {
 			case <-l.ctx.Done():
 				return
+			case <-k.stop:
+				return
 			case <-time.After(backoff + time.Duration(rand.Int63n(int64(backoff)))):
 			}
 			backoff = min(backoff*2, l.timing.Election)
@@ -161,8 +173,8 @@
 		}
 		conn.WriteTimeout = l.timing.Silence
 		backoff = l.timing.Heartbeat / 2
-		// What was queued while the peer was away is stale.
-		for len(k.queue) > 0 {
+		// Of what was queued while the peer was away only the newest matters.
+		for len(k.queue) > cap(k.queue)/8 {
 			<-k.queue
 		}
 		k.mu.Lock()
@@ -193,6 +205,9 @@
 			case <-l.ctx.Done():
 				conn.Close()
 				return
+			case <-k.stop:
+				conn.Close()
+				return
 			case <-dead:
 				ok = false
 			case f := <-k.queue:
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -39,7 +39,11 @@
 		case <-ctx.Done():
 		case <-time.After(pause/2 + time.Duration(rand.Int63n(int64(pause)))):
 		}
-		pause = min(pause*2, p.timing.Call)
+		most := p.timing.Call
+		if !p.mirror.Listed() {
+			most /= 8 // without a view every moment counts
+		}
+		pause = min(pause*2, most)
 	}
 }
 
