--- a/balance/budget.go
+++ b/balance/budget.go
@@ -1,70 +1,38 @@
 package balance
 
-import "time"
-
-// Budget is one node's provable share of a retry budget that is kept over
-// sliding windows and summed over all nodes.
+// Budget is one node's share of a retry budget that is summed over all nodes.
 //
-// At every extra arrival it holds that the extra ones of the window that ends
-// now are at most ratio x the requests of that same window plus this node's
-// part of the slack. Summed over nodes this bounds any window.
+// It is a token bucket: a request brings ratio tokens, an extra arrival takes
+// one, and no more than the node's part of the slack is held. So in every
+// window, however it lies, a node's extra arrivals are at most ratio x its
+// requests + its part; summed over nodes, ratio x all requests + the slack. A
+// node starts with nothing in hand, so that a restart brings nothing twice.
 type Budget struct {
-	ratio  float64
-	slack  float64
-	width  time.Duration
-	slots  [budgetSlots + 1]struct{ requests, extra float64 }
-	at     int64
-	counts struct{ requests, extra float64 }
-}
-
-const budgetSlots = 40
-
-// NewBudget makes a budget for windows of a width. ratio and slack are this
-// node's.
-func NewBudget(ratio, slack float64, width time.Duration) *Budget {
-	return &Budget{ratio: ratio, slack: slack, width: width}
+	ratio float64
+	part  float64
+	held  float64
 }
 
-// SetSlack changes this node's part of the slack.
-func (b *Budget) SetSlack(s float64) { b.slack = s }
+// NewBudget makes an empty bucket. part is this node's share of the slack.
+func NewBudget(ratio, part float64) *Budget { return &Budget{ratio: ratio, part: part} }
 
-func (b *Budget) roll(now time.Duration) {
-	at := int64(now) * budgetSlots / int64(b.width)
-	if at-b.at > budgetSlots+1 {
-		*b = Budget{ratio: b.ratio, slack: b.slack, width: b.width, at: at}
-		return
-	}
-	for b.at < at {
-		b.at++
-		s := &b.slots[b.at%(budgetSlots+1)]
-		b.counts.requests -= s.requests
-		b.counts.extra -= s.extra
-		s.requests, s.extra = 0, 0
-	}
+// SetPart changes this node's share of the slack.
+func (b *Budget) SetPart(part float64) {
+	b.part = part
+	b.held = min(b.held, part)
 }
 
 // Request counts a request of a client.
-func (b *Budget) Request(now time.Duration) {
-	b.roll(now)
-	b.slots[b.at%(budgetSlots+1)].requests++
-	b.counts.requests++
-}
+func (b *Budget) Request() { b.held = min(b.held+b.ratio, b.part) }
 
-// Left is how many extra arrivals may still be made now.
-func (b *Budget) Left(now time.Duration) float64 {
-	b.roll(now)
-	// The oldest slot may lie partly outside the window: its requests do not
-	// count, its extra arrivals do.
-	old := b.slots[(b.at+1)%(budgetSlots+1)].requests
-	return b.ratio*(b.counts.requests-old) + b.slack - b.counts.extra
-}
+// Left is how many extra arrivals may be made now.
+func (b *Budget) Left() float64 { return b.held }
 
 // Spend takes one extra arrival if the budget allows it.
-func (b *Budget) Spend(now time.Duration) bool {
-	if b.Left(now) < 1 {
+func (b *Budget) Spend() bool {
+	if b.held < 1 {
 		return false
 	}
-	b.slots[b.at%(budgetSlots+1)].extra++
-	b.counts.extra++
+	b.held--
 	return true
 }
--- /dev/null
+++ b/internal/dowel/dowel_test.go
@@ -0,0 +1,90 @@
+package dowel
+
+import (
+	"encoding/binary"
+	"errors"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"lichentray/clamp"
+	"lichentray/rack"
+)
+
+func pair(t testing.TB) (net.Conn, net.Conn) {
+	a, b := net.Pipe()
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return a, b
+}
+
+func TestFrames(t *testing.T) {
+	a, b := pair(t)
+	frames := []*Frame{
+		{Hello: &Hello{Version: Version, Role: Peer, Node: "n", ID: 7}},
+		{Raft: []clamp.Message{{Type: clamp.MsgAppend, From: 1, To: 2, Term: 3, Entries: []clamp.Entry{{Index: 4, Term: 3, Data: []byte("x")}}}}},
+		{Events: []rack.Event{{Type: rack.Added, Object: rack.Object{Key: "k", Value: []byte("v"), ModRevision: 9}, Revision: 9}}, Bookmark: &Bookmark{Revision: 9, Control: []string{"c"}}},
+	}
+	go func() {
+		c := NewConn(a, time.Second)
+		for _, f := range frames {
+			if err := c.Send(f); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	c := NewConn(b, time.Second)
+	for _, want := range frames {
+		got, err := c.Receive(5 * time.Second)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, %v", got, err)
+		}
+	}
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	huge := binary.BigEndian.AppendUint32(nil, MaxFrame+1)
+	for name, bytes := range map[string][]byte{
+		"another protocol": []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"an endless frame": huge,
+		"garbage":          append([]byte{0, 0, 0, 8}, "\xff\xfe\xfd\xfc\xfb\xfa\xf9\xf8"...),
+		"an empty frame":   {0, 0, 0, 0},
+	} {
+		a, b := pair(t)
+		go func() {
+			_, _ = a.Write(bytes) // the other end may hang up first
+			a.Close()
+		}()
+		if _, _, err := Accept(b, 2*time.Second); err == nil {
+			t.Errorf("%s was taken for a peer", name)
+		}
+	}
+	a, b := pair(t)
+	go func() { _ = NewConn(a, time.Second).Send(&Frame{Hello: &Hello{Version: Version + 1, Role: Peer}}) }()
+	if _, _, err := Accept(b, 2*time.Second); !errors.Is(err, ErrHello) {
+		t.Errorf("a newer version got %v", err)
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 2, 1, 2})
+	f.Add([]byte{255, 255, 255, 255})
+	a, b := pair(f)
+	go func() { _ = NewConn(a, time.Second).Send(&Frame{Gone: true}) }()
+	buf := make([]byte, 1<<16)
+	n, _ := b.Read(buf)
+	f.Add(append([]byte(nil), buf[:n]...))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		a, b := pair(t)
+		go func() {
+			_, _ = a.Write(in)
+			a.Close()
+		}()
+		c := NewConn(b, time.Second)
+		for {
+			if _, err := c.Receive(time.Second); err != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -80,6 +80,8 @@
 	ctx  context.Context
 	stop context.CancelFunc
 
+	diskDone, portDone chan struct{}
+
 	// Owned by the actor.
 	node      *clamp.Node
 	pending   map[uint64]waiter
@@ -158,7 +160,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	l := &Lathe{
 		set: set, timing: TimingOf(set), log: log, board: board, start: time.Now(),
-		mail: make(chan func(), 1024), disk: make(chan diskJob, 4096), ctx: ctx, stop: stop,
+		mail: make(chan func(), 1024), disk: make(chan diskJob, 4096), ctx: ctx, stop: stop, diskDone: make(chan struct{}), portDone: make(chan struct{}),
 		pending: map[uint64]waiter{}, reads: map[uint64]chan outcome{},
 		alive: map[string]time.Duration{}, probing: map[string]bool{}, counts: map[uint64]proxyCount{},
 		store: rack.New(), locks: map[string]lockTimer{},
@@ -488,8 +490,12 @@
 	}
 }
 
-// Close stops the actor at once.
-func (l *Lathe) Close() { l.stop() }
+// Close stops the node at once and gives its disk and port back.
+func (l *Lathe) Close() {
+	l.stop()
+	<-l.diskDone
+	<-l.portDone
+}
 
 // Resign hands leadership on, if this node has it, and waits a little for the
 // new leader.
@@ -518,6 +524,8 @@
 
 // writeDisk is the actor of the disk: all that waits goes into one sync.
 func (l *Lathe) writeDisk() {
+	defer close(l.diskDone)
+	defer l.chest.Close()
 	for {
 		var job diskJob
 		select {
--- /dev/null
+++ b/internal/lathe/lathe_test.go
@@ -0,0 +1,274 @@
+package lathe
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"lichentray/clamp"
+	"lichentray/internal/dial"
+	"lichentray/internal/dowel"
+	"lichentray/internal/notch"
+	"lichentray/internal/vicetest"
+	"lichentray/latch"
+	"lichentray/rack"
+	"lichentray/spool"
+)
+
+const text = `{"config_version":%d,"listeners":[],"clusters":[{"name":"s","health_check_path":"/health"}]}`
+
+type group struct {
+	t                 *testing.T
+	dir               string
+	control, internal int
+	ips               []string
+	nodes             []*Lathe
+}
+
+func newGroup(t *testing.T, n int) *group {
+	g := &group{t: t, dir: t.TempDir()}
+	for i := range n {
+		g.ips = append(g.ips, fmt.Sprint("127.0.0.", 11+i))
+	}
+	g.control, g.internal = vicetest.FreePort(t, g.ips...), vicetest.FreePort(t, g.ips...)
+	for i := range n {
+		g.nodes = append(g.nodes, nil)
+		g.start(i, true)
+	}
+	t.Cleanup(func() {
+		for _, l := range g.nodes {
+			l.Close()
+		}
+	})
+	return g
+}
+
+func (g *group) disk(i int) string { return filepath.Join(g.dir, fmt.Sprint(i)) }
+
+func (g *group) start(i int, bootstrap bool) {
+	g.t.Helper()
+	if err := os.MkdirAll(g.disk(i), 0o700); err != nil {
+		g.t.Fatal(err)
+	}
+	set := vicetest.Settings(g.t, g.ips[i], g.disk(i), g.control, g.internal, g.ips[:min(3, len(g.ips))], bootstrap)
+	var err error
+	for range 100 { // the port may still be held by the life before
+		if g.nodes[i], err = Start(set, slog.New(slog.NewTextHandler(io.Discard, nil)), dial.NewBoard()); err == nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.t.Fatal(err)
+}
+
+// until waits for what must come, far longer than it takes.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal("never came: " + what)
+}
+
+func (g *group) leader() *Lathe {
+	for _, l := range g.nodes {
+		if l.Status().Role == clamp.Leader.String() {
+			return l
+		}
+	}
+	return nil
+}
+
+// TestGroup drives three nodes on the loopback through the calls, a watch that
+// resumes elsewhere, the loss of a disk, and the loss of all processes.
+func TestGroup(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.nodes
+	until(t, "a configuration is taken", func() bool { return l[0].Replace([]byte(fmt.Sprintf(text, 5))) == nil })
+
+	// An older version is acknowledged and changes nothing; an invalid one is not.
+	if err := l[1].Replace([]byte(fmt.Sprintf(text, 4))); err != nil {
+		t.Errorf("older version: %v", err)
+	}
+	if err := l[2].Replace([]byte(`{"config_version":9`)); notch.Of(err) != notch.Invalid {
+		t.Errorf("a cut-short configuration got %v", err)
+	}
+	for i := range l {
+		if got, err := l[i].Configuration(); err != nil || string(got) != fmt.Sprintf(text, 5) {
+			t.Errorf("node %d reads %q, %v", i, got, err)
+		}
+	}
+
+	// A beat creates, an ordinary one writes nothing, a drain updates, a
+	// sign-off deletes, and a late beat brings nothing back.
+	e := rack.Endpoint{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Capacity: 2, Sequence: 1}
+	if err := l[0].Beat(e); err != nil {
+		t.Fatal(err)
+	}
+	stream, mirror := follow(t, l[1].self.Addr, spool.NewMirror())
+	before := l[0].Status().Revision
+	e.Sequence = 2
+	if err := l[0].Beat(e); err != nil || l[0].Status().Revision != before {
+		t.Errorf("an ordinary beat: %v, revision %d then %d", err, before, l[0].Status().Revision)
+	}
+	stream.Close() // the proxy is away while the endpoint drains and leaves
+	e.Sequence, e.Draining = 4, true
+	if err := l[1].Beat(e); err != nil {
+		t.Fatal(err)
+	}
+	if err := l[2].Replace([]byte(fmt.Sprintf(text, 6))); err != nil {
+		t.Fatal(err)
+	}
+	if err := l[2].SignOff("i-1"); err != nil {
+		t.Fatal(err)
+	}
+	e.Sequence, e.Draining = 3, false
+	for i := range l {
+		if err := l[i].Beat(e); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := l[2].ReadPoint(); err != nil {
+		t.Error(err)
+	}
+	if n := l[2].Status().Endpoints; n != 0 {
+		t.Errorf("a late beat brought a departed endpoint back")
+	}
+	// The watch resumes at another node and brings every event that was missed.
+	stream, mirror = follow(t, l[2].self.Addr, mirror)
+	if _, there := mirror.Objects()[e.Key()]; there {
+		t.Error("the resumed copy still has the departed endpoint")
+	}
+	if o := mirror.Objects()[rack.ConfigKey]; len(o.Value) < 8 || string(o.Value[8:]) != fmt.Sprintf(text, 6) {
+		t.Error("the resumed copy lacks the configuration that came meanwhile")
+	}
+	stream.Close()
+
+	// Locks, numbers, cells and a watch over all nodes.
+	var last uint64
+	for i := range 9 {
+		r, err := l[i%3].Do(rack.Command{Latch: &latch.Command{Op: latch.Next, Name: "n"}})
+		if err != nil || r.Latch.Value <= last {
+			t.Fatalf("number %d after %d, %v", r.Latch.Value, last, err)
+		}
+		last = r.Latch.Value
+	}
+	got := make(chan error, 1)
+	if _, err := l[0].Do(rack.Command{Latch: &latch.Command{Op: latch.Put, Name: "g.a", Value: "1"}}); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		events, rev, err := l[1].Watch("g.", 1, 20*time.Second)
+		if err == nil && (len(events) != 1 || events[0].Value != "2" || rev != 2) {
+			err = fmt.Errorf("watch gave %v at %d", events, rev)
+		}
+		got <- err
+	}()
+	if _, err := l[2].Do(rack.Command{Latch: &latch.Command{Op: latch.Put, Name: "g.a", Value: "2"}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-got; err != nil {
+		t.Error(err)
+	}
+
+	// A disk is lost: its node joins as a new member and the group is whole again.
+	lost := 0
+	if g.leader() == l[0] {
+		lost = 1
+	}
+	oldID := l[lost].self.ID
+	l[lost].Close()
+	if err := os.RemoveAll(g.disk(lost)); err != nil {
+		t.Fatal(err)
+	}
+	g.start(lost, false)
+	until(t, "the new life votes and the old one is gone", func() bool {
+		x := g.leader()
+		if x == nil {
+			return false
+		}
+		s := x.Status()
+		votes := false
+		for _, m := range s.Members {
+			if m.ID == oldID {
+				return false
+			}
+			votes = votes || (m.ID == l[lost].self.ID && m.Voter)
+		}
+		return votes && len(s.Members) == 3
+	})
+
+	// All processes end; their disks stay.
+	for i := range l {
+		l[i].Close()
+	}
+	for i := range l {
+		g.start(i, false)
+	}
+	until(t, "the configuration is read back", func() bool {
+		got, err := l[0].Configuration()
+		return err == nil && string(got) == fmt.Sprintf(text, 6)
+	})
+	if c, err := l[1].Cell("g.a"); err != nil || c.Value != "2" || c.Revision != 2 {
+		t.Errorf("cell after the restart: %+v, %v", c, err)
+	}
+}
+
+// follow lists or resumes at a node as a proxy does, up to the newest revision.
+func follow(t *testing.T, addr string, m *spool.Mirror) (*dowel.Conn, *spool.Mirror) {
+	t.Helper()
+	c, err := dowel.Dial(context.Background(), addr, 5*time.Second, dowel.Hello{Role: dowel.Proxy, Node: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Send(&dowel.Frame{Ask: &dowel.Ask{ID: 1, List: !m.Listed(), Watch: m.Listed(), Least: m.Revision()}}); err != nil {
+		t.Fatal(err)
+	}
+	target := uint64(0)
+	for {
+		f, err := c.Receive(20 * time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a := f.Answer; a != nil {
+			if a.Failed || a.Gone {
+				t.Fatalf("list or watch failed: %+v", a)
+			}
+			target = a.Revision
+			if !m.Listed() {
+				if err := m.Reset(a.Revision, a.Objects); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for _, e := range f.Events {
+			m.Apply(e)
+		}
+		if f.Bookmark != nil {
+			m.Bookmark(f.Bookmark.Revision)
+			if target > 0 && m.Revision() >= target {
+				return c, m
+			}
+		}
+	}
+}
+
+func TestMergeOfDiskJobs(t *testing.T) {
+	e := func(i, term uint64) clamp.Entry { return clamp.Entry{Index: i, Term: term} }
+	j := merge(diskJob{entries: []clamp.Entry{e(5, 1), e(6, 1), e(7, 1)}, hard: &clamp.HardState{Term: 1}},
+		diskJob{entries: []clamp.Entry{e(6, 2)}, hard: &clamp.HardState{Term: 2}})
+	if len(j.entries) != 2 || j.entries[1].Term != 2 || j.hard.Term != 2 {
+		t.Errorf("a cut was lost in the merge: %+v", j.entries)
+	}
+	j = merge(diskJob{entries: []clamp.Entry{e(5, 1), e(6, 1)}}, diskJob{entries: []clamp.Entry{e(3, 2)}})
+	if len(j.entries) != 1 || j.entries[0].Index != 3 {
+		t.Errorf("a cut below the batch was lost: %+v", j.entries)
+	}
+}
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -1,6 +1,7 @@
 package lathe
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand"
@@ -227,10 +228,8 @@
 }
 
 func (l *Lathe) accept(ln net.Listener) {
-	go func() {
-		<-l.ctx.Done()
-		ln.Close()
-	}()
+	defer close(l.portDone)
+	defer context.AfterFunc(l.ctx, func() { ln.Close() })()
 	for {
 		raw, err := ln.Accept()
 		if err != nil {
@@ -253,6 +252,7 @@
 		return
 	}
 	defer conn.Close()
+	defer context.AfterFunc(l.ctx, conn.Close)()
 	switch hello.Role {
 	case dowel.Peer:
 		l.servePeer(conn, hello)
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -396,7 +396,7 @@
 func (p *Plane) forward(q *request) {
 	svc := q.svc
 	svc.mu.Lock()
-	svc.budget.Request(p.now())
+	svc.budget.Request()
 	svc.mu.Unlock()
 	skip := func(e *balance.Endpoint) bool {
 		for _, t := range q.tried {
@@ -422,7 +422,7 @@
 		}
 		if q.arrived {
 			svc.mu.Lock()
-			ok := svc.budget.Spend(p.now())
+			ok := svc.budget.Spend()
 			svc.mu.Unlock()
 			if !ok {
 				p.n.budgetOut.Inc()
@@ -504,7 +504,7 @@
 func (p *Plane) mayRepeat(s *service) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Left(p.now()) >= 1
+	return s.budget.Left() >= 1
 }
 
 // turnedAway takes an endpoint's word that it did not run a request.
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -136,7 +136,7 @@
 		s = &service{
 			name: name, shelves: map[*balance.Endpoint]*shelf{},
 			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.25}),
-			budget: balance.NewBudget(p.set.Bounds.RetryBudgetRatio*0.8, 1, p.set.Bounds.BudgetWindow.D()),
+			budget: balance.NewBudget(p.set.Bounds.RetryBudgetRatio*0.95, 1),
 		}
 		p.services[name] = s
 	}
@@ -161,8 +161,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// Half of the slack is kept back for nodes that are not counted yet.
-	s.budget.SetSlack(max(1, p.set.Bounds.RetryBudgetSlack/2/float64(n)))
+	// A quarter of the slack is kept back for nodes that are not counted yet.
+	s.budget.SetPart(max(1, p.set.Bounds.RetryBudgetSlack*0.75/float64(n)))
 	s.pool.SetPeers(n)
 }
 
--- /dev/null
+++ b/internal/plane/plane_test.go
@@ -0,0 +1,359 @@
+package plane
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lichentray/internal/dial"
+	"lichentray/internal/vicetest"
+	"lichentray/rack"
+)
+
+// endpoint is a stand-in: it reads one request a turn and answers by script.
+type endpoint struct {
+	t      *testing.T
+	ln     net.Listener
+	mu     sync.Mutex
+	got    []string
+	script func(n int, req string) string // "" closes the connection unanswered
+}
+
+func newEndpoint(t *testing.T, script func(n int, req string) string) *endpoint {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &endpoint{t: t, ln: ln, script: script}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		text := fmt.Sprintf("%s %s %s", req.Method, req.RequestURI, body)
+		e.mu.Lock()
+		e.got = append(e.got, text)
+		n := len(e.got)
+		e.mu.Unlock()
+		a := e.script(n, text)
+		if a == "" {
+			return
+		}
+		a = strings.ReplaceAll(a, "ID", req.Header.Get("X-Attempt-Id"))
+		if _, err := io.WriteString(c, a); err != nil || strings.Contains(a, "BREAK") {
+			return
+		}
+	}
+}
+
+func (e *endpoint) requests() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.got...)
+}
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Signature: s\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+const notRun = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+const routes = `{"config_version":3,"limits":{"max_header_bytes":2000,"max_body_bytes":600000,"header_timeout_s":1,"idle_timeout_s":5},
+"listeners":[{"hostname":"h","rules":[
+ {"name":"safe","route_type":"idempotent","target_latency_s":1,"priority":1,"match":{"path_prefix":"/safe/"},"action":{"backend_service":"s","timeout_s":5,"max_attempts":2}},
+ {"name":"once","route_type":"non_idempotent","target_latency_s":1,"priority":1,"match":{"path_prefix":"/once/"},"action":{"backend_service":"s","timeout_s":5,"max_attempts":2}}]}],
+"clusters":[{"name":"s","health_check_path":"/health","max_connections":100}]}`
+
+// front starts a proxy node on the loopback that knows the given endpoints.
+func front(t *testing.T, endpoints ...*endpoint) (*Plane, string) {
+	set := vicetest.Settings(t, "127.0.0.1", "", 1, 2, []string{"127.0.0.1"}, false)
+	p := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), dial.NewBoard())
+	p.takeObject(rack.Object{Key: rack.ConfigKey, Value: append(make([]byte, 8), routes...)}, false)
+	for i, e := range endpoints {
+		x := rack.Endpoint{ID: fmt.Sprint("i-", i), Service: "s", Address: e.ln.Addr().String(), Zone: "a", Capacity: 4}
+		p.takeObject(rack.Object{Key: x.Key(), Value: x.Encode()}, false)
+	}
+	for range 100 { // a budget in hand for further tries
+		p.services["s"].budget.Request()
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := NewFront(p, ln)
+	go func() { _ = f.Run() }()
+	t.Cleanup(func() { ln.Close() })
+	return p, ln.Addr().String()
+}
+
+// send writes raw bytes and reads all answers until the node closes or the
+// number wanted is there.
+func send(t *testing.T, addr, raw string, want int) []*http.Response {
+	t.Helper()
+	c, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, raw); err != nil {
+		t.Fatal(err)
+	}
+	br := bufio.NewReader(c)
+	var out []*http.Response
+	for len(out) < want {
+		r, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return out
+		}
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			r.StatusCode = -1 // cut short
+		}
+		r.Body = io.NopCloser(bytes.NewReader(b))
+		out = append(out, r)
+	}
+	return out
+}
+
+func get(path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline: 4000\r\nConnection: close\r\n\r\n"
+}
+
+func post(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a2\r\nX-Deadline: 4000\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc"
+}
+
+func status(rs []*http.Response) int {
+	if len(rs) != 1 {
+		return 0
+	}
+	return rs[0].StatusCode
+}
+
+// TestOutcomes: what the endpoints do, what the client gets, how often a
+// request was handed to them.
+func TestOutcomes(t *testing.T) {
+	always := func(a string) func(int, string) string { return func(int, string) string { return a } }
+	first := func(a, then string) func(int, string) string {
+		return func(n int, _ string) string {
+			if n == 1 {
+				return a
+			}
+			return then
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		script  func(int, string) string
+		request string
+		status  int
+		handed  int
+	}{
+		{"served", always(ok("x")), get("/safe/a"), 200, 1},
+		{"no route", always(ok("x")), get("/none/a"), 404, 0},
+		{"repeatable is tried again after a broken connection", first("", ok("x")), get("/safe/a"), 200, 2},
+		{"repeatable is tried again after a failure", first("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", ok("x")), get("/safe/a"), 200, 2},
+		{"once may have run: no promise, no second try", always(""), post("/once/a"), 502, 1},
+		{"once that was turned away goes elsewhere", first(notRun, ok("x")), post("/once/a"), 200, 2},
+		{"once turned away everywhere is refused with a promise", always(notRun), post("/once/a"), 503, 2},
+		{"once failed by itself is no promise", always("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), post("/once/a"), 502, 1},
+		{"an answer to another request", always(strings.Replace(ok("x"), "ID", "zz", 1)), post("/once/a"), 502, 1},
+		{"a success without a signature", always("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"), post("/once/a"), 502, 1},
+		{"a body cut short", always("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 9\r\n\r\nBREAK"), post("/once/a"), 502, 1},
+		{"a body without a length", always("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n\r\nBREAK"), post("/once/a"), 502, 1},
+		{"no HTTP at all", always("BREAK what is this\r\n\r\n"), post("/once/a"), 502, 1},
+		{"two lengths", always("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy"), post("/once/a"), 502, 1},
+		{"chunked", always("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), post("/once/a"), 200, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var mu sync.Mutex
+			n := 0
+			shared := func(_ int, req string) string {
+				mu.Lock()
+				n++
+				k := n
+				mu.Unlock()
+				return c.script(k, req)
+			}
+			_, addr := front(t, newEndpoint(t, shared), newEndpoint(t, shared))
+			rs := send(t, addr, c.request, 1)
+			mu.Lock()
+			handed := n
+			mu.Unlock()
+			if status(rs) != c.status || handed != c.handed {
+				t.Errorf("client got %d, handed on %d times; want %d and %d", status(rs), handed, c.status, c.handed)
+			}
+			if s := status(rs); s == 503 && rs[0].Header.Get("Retry-After") == "" {
+				t.Error("a refusal does not say when to come back")
+			}
+		})
+	}
+}
+
+// TestHostileRequests: nothing ambiguous is passed on, and nothing is smuggled.
+func TestHostileRequests(t *testing.T) {
+	smuggled := "GET /safe/evil HTTP/1.1\r\nHost: h\r\n\r\n"
+	head := "POST /once/a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: q\r\n"
+	for name, raw := range map[string]string{
+		"two lengths":         head + "Content-Length: 3\r\nContent-Length: 50\r\n\r\nabc" + smuggled,
+		"same length twice":   head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc" + smuggled,
+		"length and chunks":   head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled,
+		"odd encoding":        head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + smuggled,
+		"bad chunk":           head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n" + smuggled,
+		"space before colon":  head + "Content-Length : 3\r\n\r\nabc" + smuggled,
+		"folded header":       head + "X-A: b\r\n c: d\r\nContent-Length: 3\r\n\r\nabc" + smuggled,
+		"signed length":       head + "Content-Length: +3\r\n\r\nabc" + smuggled,
+		"no host":             "GET /safe/a HTTP/1.1\r\nX-Attempt-Id: q\r\n\r\n" + smuggled,
+		"two hosts":           "GET /safe/a HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n" + smuggled,
+		"header too large":    "GET /safe/a HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("a", 9000) + "\r\n\r\n" + smuggled,
+		"body too large":      head + "Content-Length: 700000\r\n\r\n" + smuggled,
+		"garbage":             "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n" + smuggled,
+		"target with a space": "GET /safe/a b HTTP/1.1\r\nHost: h\r\n\r\n" + smuggled,
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndpoint(t, func(int, string) string { return ok("x") })
+			_, addr := front(t, e)
+			rs := send(t, addr, raw, 5)
+			for _, got := range e.requests() {
+				if strings.Contains(got, "evil") {
+					t.Errorf("smuggled: %q", got)
+				}
+			}
+			if len(rs) > 1 {
+				t.Errorf("%d answers to one unreadable request", len(rs))
+			}
+			if len(rs) == 1 && (rs[0].StatusCode < 400 || rs[0].StatusCode >= 500) {
+				t.Errorf("answered %d", rs[0].StatusCode)
+			}
+		})
+	}
+}
+
+// TestPassesByteForByte: path, query, body and headers arrive as they were
+// sent; what concerns one connection does not.
+func TestPassesByteForByte(t *testing.T) {
+	var got string
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		b := make([]byte, 4096)
+		for !strings.HasSuffix(got, "body") {
+			n, err := c.Read(b)
+			if err != nil {
+				return
+			}
+			got += string(b[:n])
+		}
+		_, _ = io.WriteString(c, strings.Replace(ok("y"), "ID", "q", 1))
+	}()
+	_, addr := front(t, &endpoint{ln: ln})
+	rs := send(t, addr, "POST /once/a//b/../%2e%2F;x?q=%20&&a=b+c HTTP/1.1\r\nhOsT: h\r\nX-Attempt-Id: q\r\nx-odd-CASE: v  w\r\nAccept-Encoding: identity\r\nX-Hop: gone\r\nConnection: close, X-Hop\r\nX-Target-Instance: i-evil\r\nContent-Length: 4\r\n\r\nbody", 1)
+	if status(rs) != 200 {
+		t.Fatalf("answered %d", status(rs))
+	}
+	<-done
+	lines := strings.Split(got, "\r\n")
+	if lines[0] != "POST /once/a//b/../%2e%2F;x?q=%20&&a=b+c HTTP/1.1" {
+		t.Errorf("request line became %q", lines[0])
+	}
+	want := map[string]bool{"hOsT: h": true, "X-Attempt-Id: q": true, "x-odd-CASE: v  w": true, "Accept-Encoding: identity": true, "X-Target-Instance: i-0": true, "Content-Length: 4": true}
+	for _, l := range lines[1 : len(lines)-2] {
+		if strings.HasPrefix(l, "X-Deadline: ") {
+			continue
+		}
+		if !want[l] {
+			t.Errorf("unasked header %q", l)
+		}
+		delete(want, l)
+	}
+	if len(want) > 0 {
+		t.Errorf("headers lost: %v", want)
+	}
+}
+
+// TestLeftoverBytesEndTheConnection: bytes after a whole answer belong to no
+// request.
+func TestLeftoverBytesEndTheConnection(t *testing.T) {
+	n := 0
+	var mu sync.Mutex
+	e := newEndpoint(t, func(int, string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		n++
+		if n == 1 {
+			return ok("first") + "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 4\r\n\r\nevil"
+		}
+		return ok("second")
+	})
+	_, addr := front(t, e)
+	for _, want := range []string{"first", "second"} {
+		rs := send(t, addr, get("/safe/a"), 1)
+		if status(rs) != 200 {
+			t.Fatalf("answered %d", status(rs))
+		}
+		if b, _ := io.ReadAll(rs[0].Body); string(b) != want {
+			t.Errorf("got %q instead of %q", b, want)
+		}
+	}
+}
+
+// TestDrainingGetsNothingNew: neither first nor second tries go to an endpoint
+// that drains, and a configuration never goes back.
+func TestDrainingGetsNothingNew(t *testing.T) {
+	a, b := newEndpoint(t, func(int, string) string { return ok("x") }), newEndpoint(t, func(int, string) string { return ok("x") })
+	p, addr := front(t, a, b)
+	x := rack.Endpoint{ID: "i-0", Service: "s", Address: a.ln.Addr().String(), Zone: "a", Capacity: 4, Draining: true}
+	p.takeObject(rack.Object{Key: x.Key(), Value: x.Encode()}, true)
+	for range 30 {
+		send(t, addr, get("/safe/a"), 1)
+	}
+	if len(a.requests()) != 0 || len(b.requests()) != 30 {
+		t.Errorf("draining endpoint got %d requests, the other %d", len(a.requests()), len(b.requests()))
+	}
+	old := strings.Replace(strings.Replace(routes, `"config_version":3`, `"config_version":2`, 1), "/safe/", "/other/", 1)
+	p.takeObject(rack.Object{Key: rack.ConfigKey, Value: append(make([]byte, 8), old...)}, true)
+	if s := status(send(t, addr, get("/safe/a"), 1)); s != 200 {
+		t.Errorf("an older configuration came into force: %d", s)
+	}
+}
--- /dev/null
+++ b/jig/jig_test.go
@@ -0,0 +1,121 @@
+package jig
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+const sample = `{"config_version":7,"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15},
+"listeners":[{"hostname":"a.example","rules":[
+ {"name":"r1","route_type":"idempotent","target_latency_s":0.25,"priority":2,"match":{"path_prefix":"/x/"},"action":{"traffic_split":[{"backend_service":"s1","weight":90},{"backend_service":"s2","weight":10}],"timeout_s":1.5,"max_attempts":2}},
+ {"name":"r2","route_type":"non_idempotent","target_latency_s":0.3,"priority":1,"match":{"path_prefix":"/x/y/"},"action":{"backend_service":"s1","timeout_s":2,"max_attempts":2}}]}],
+"clusters":[{"name":"s1","health_check_path":"/health","max_connections":130,"protocol":"h1","tls":false},{"name":"s2","health_check_path":"/health","max_connections":130}]}`
+
+func TestInvalidIsRefusedWithTheField(t *testing.T) {
+	if _, err := Read([]byte(sample)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ what, old, new, field string }{
+		{"cut short", `"max_connections":130}]}`, ``, ""},
+		{"more after the end", `"max_connections":130}]}`, `"max_connections":130}]} x`, ""},
+		{"unknown service", `"backend_service":"s1","timeout_s"`, `"backend_service":"nobody","timeout_s"`, "backend_service"},
+		{"unknown service in a split", `"backend_service":"s2","weight":10`, `"backend_service":"nobody","weight":10`, "traffic_split"},
+		{"odd route type", `"non_idempotent"`, `"maybe"`, "route_type"},
+		{"long timeout", `"timeout_s":2`, `"timeout_s":601`, "timeout_s"},
+		{"no attempts", `"timeout_s":2,"max_attempts":2`, `"timeout_s":2,"max_attempts":0`, "max_attempts"},
+		{"weight below 0", `"weight":10`, `"weight":-1`, "weight"},
+		{"weights add up to 0", `"weight":90},{"backend_service":"s2","weight":10`, `"weight":0},{"backend_service":"s2","weight":0`, "traffic_split"},
+		{"wrong type", `"config_version":7`, `"config_version":"7"`, "config_version"},
+		{"no version", `"config_version":7,`, ``, "config_version"},
+		{"no routes list", `"listeners":[`, `"other":[`, "listeners"},
+	} {
+		text := strings.Replace(sample, c.old, c.new, 1)
+		if text == sample {
+			t.Fatalf("%s: the sample was not changed", c.what)
+		}
+		_, err := Read([]byte(text))
+		if err == nil {
+			t.Errorf("%s was accepted", c.what)
+		} else if !strings.Contains(err.Error(), c.field) {
+			t.Errorf("%s: the error does not name %s: %v", c.what, c.field, err)
+		}
+	}
+}
+
+// plainMatch is the route table as the protocol words it.
+func plainMatch(c *Configuration, host, path string) string {
+	best, name := -1, ""
+	for _, l := range c.Listeners {
+		for _, r := range l.Rules {
+			if strings.EqualFold(l.Hostname, host) && strings.HasPrefix(path, r.Match.Prefix) && len(r.Match.Prefix) > best {
+				best, name = len(r.Match.Prefix), r.Name
+			}
+		}
+	}
+	return name
+}
+
+func TestMatchAgainstPlainTable(t *testing.T) {
+	c := &Configuration{Clusters: []Cluster{{Name: "s"}}}
+	n := 0
+	for h := range 3 {
+		l := Listener{Hostname: fmt.Sprintf("H%d.example", h)}
+		for _, p := range []string{"/", "/a/", "/a/b/", "/ab/", "/c/d/e/"}[h:] {
+			var r Rule
+			r.Name, r.Match.Prefix, r.Action.Service = fmt.Sprint("r", n), p, "s"
+			l.Rules = append(l.Rules, r)
+			n++
+		}
+		c.Listeners = append(c.Listeners, l)
+	}
+	tab := Compile(c)
+	for _, host := range []string{"h0.example", "H1.Example", "h2.example", "h9.example"} {
+		for _, path := range []string{"/", "/a", "/a/", "/a/b", "/a/b/c", "/ab/x", "/c/d/e/f", "/c/d", "//a/", "/A/"} {
+			got := ""
+			if r := tab.Match([]byte(host+":8080"), []byte(path)); r != nil {
+				got = r.Name
+			}
+			if want := plainMatch(c, host, path); got != want {
+				t.Errorf("%s%s went to %q, the plain table says %q", host, path, got, want)
+			}
+		}
+	}
+}
+
+func TestSplitByWeight(t *testing.T) {
+	c, err := Read([]byte(sample))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := Compile(c).Match([]byte("a.example"), []byte("/x/z"))
+	n := [2]int{}
+	for i := range 1000 {
+		n[r.Pick(float64(i)/1000)]++
+	}
+	if n != [2]int{900, 100} {
+		t.Errorf("90:10 was split as %v", n)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(sample))
+	f.Add([]byte(sample[:200]))
+	f.Add([]byte(`{"config_version":1e3,"listeners":[],"clusters":[]}`))
+	f.Add([]byte(`{"config_version":1,"listeners":null,"clusters":{}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := Read(b)
+		if err != nil {
+			return
+		}
+		if !json.Valid(b) || Version(b) != c.Version {
+			t.Fatalf("accepted %q as version %d", b, c.Version)
+		}
+		for _, r := range Compile(c).Routes {
+			if r.MaxAttempts < 1 || r.Pick(0.999) < 0 {
+				t.Fatalf("compiled a route that cannot be used: %+v", r)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/latch/latch_test.go
@@ -0,0 +1,150 @@
+package latch
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+)
+
+// model is the slow and plain state: every command ever, looked through anew
+// for each question.
+type model struct {
+	puts []Event // all puts that took effect, At being the log's revision
+	lock map[string][]Lock
+}
+
+func (m *model) cell(name string) (Cell, bool) {
+	for i := len(m.puts) - 1; i >= 0; i-- {
+		if m.puts[i].Name == name {
+			return Cell{m.puts[i].Value, m.puts[i].Revision}, true
+		}
+	}
+	return Cell{}, false
+}
+
+func (m *model) groupRevision(group string) uint64 {
+	n := uint64(0)
+	for _, p := range m.puts {
+		if GroupOf(p.Name) == group {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) apply(at uint64, c Command) Result {
+	held := func() (Lock, bool) {
+		l := m.lock[c.Name]
+		if len(l) == 0 {
+			return Lock{}, false
+		}
+		return l[len(l)-1], true
+	}
+	switch c.Op {
+	case Begin:
+		l, ok := held()
+		spent := ok && l.Fence == c.SpentFence && l.Grant == c.SpentGrant
+		if ok && !spent && l.Holder != c.Holder {
+			return Result{Code: Held}
+		}
+		if ok && !spent {
+			m.lock[c.Name] = []Lock{{l.Holder, l.Fence, at, c.HoldMS}}
+			return Result{Fence: l.Fence, Grant: at}
+		}
+		m.lock[c.Name] = []Lock{{c.Holder, at, at, c.HoldMS}}
+		return Result{Fence: at, Grant: at}
+	case Renew:
+		l, ok := held()
+		if !ok || l.Holder != c.Holder || l.Fence != c.Fence {
+			return Result{Code: Lost}
+		}
+		m.lock[c.Name] = []Lock{{l.Holder, l.Fence, at, c.HoldMS}}
+		return Result{Fence: l.Fence, Grant: at}
+	case Finish:
+		if l, ok := held(); ok && l.Holder == c.Holder && l.Fence == c.Fence {
+			delete(m.lock, c.Name)
+		}
+		return Result{}
+	case Next:
+		return Result{Value: at}
+	case Put:
+		for _, p := range m.puts {
+			if p.Name == c.Name && p.Value == c.Value {
+				return Result{Revision: p.Revision}
+			}
+		}
+		now, _ := m.cell(c.Name)
+		if c.HasExpect && now.Revision != c.Expect {
+			return Result{Code: Mismatch, Revision: now.Revision}
+		}
+		rev := m.groupRevision(GroupOf(c.Name)) + 1
+		m.puts = append(m.puts, Event{c.Name, c.Value, rev, at})
+		return Result{Revision: rev}
+	}
+	return Result{}
+}
+
+func TestAgainstPlainModel(t *testing.T) {
+	for seed := int64(0); seed < 20; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		tab, m := NewTable(), &model{lock: map[string][]Lock{}}
+		for at := uint64(1); at < 600; at++ {
+			c := Command{
+				Op: Op(1 + r.Intn(5)), Name: fmt.Sprintf("g%d.%d", r.Intn(3), r.Intn(3)), Holder: fmt.Sprint("h", r.Intn(3)),
+				HoldMS: uint64(r.Intn(9)), Value: fmt.Sprint(r.Intn(400)), HasExpect: r.Intn(2) == 0, Expect: uint64(r.Intn(4)),
+			}
+			if l, ok := tab.Locks[c.Name]; ok {
+				c.Fence = l.Fence
+				if r.Intn(3) == 0 {
+					c.SpentFence, c.SpentGrant = l.Fence, l.Grant
+				}
+			}
+			if cell, ok := tab.Cells[c.Name]; ok && r.Intn(2) == 0 {
+				c.Expect = cell.Revision
+			}
+			if got, want := tab.Apply(at, c), m.apply(at, c); got != want {
+				t.Fatalf("seed %d, at %d: %+v gave %+v, the model says %+v", seed, at, c, got, want)
+			}
+			after := uint64(r.Intn(10))
+			events, rev, ok := tab.Since("g1.", after)
+			var want []Event
+			for _, p := range m.puts {
+				if GroupOf(p.Name) == "g1." && p.Revision > after {
+					want = append(want, p)
+				}
+			}
+			if !ok || rev != m.groupRevision("g1.") || len(events) != len(want) || (len(want) > 0 && !reflect.DeepEqual(events, want)) {
+				t.Fatalf("seed %d: events after %d: %v at %d, the model says %v", seed, after, events, rev, want)
+			}
+		}
+	}
+}
+
+func TestTrimKeepsWhatIsYounger(t *testing.T) {
+	tab := NewTable()
+	for at := uint64(1); at <= 10; at++ {
+		tab.Apply(at, Command{Op: Put, Name: "g.k", Value: fmt.Sprint(at)})
+	}
+	tab.Apply(11, Command{Op: Trim, Before: 4})
+	if _, _, ok := tab.Since("g.", 3); ok {
+		t.Error("history reaches back further than it was kept")
+	}
+	if ev, rev, ok := tab.Since("g.", 4); !ok || len(ev) != 6 || rev != 10 {
+		t.Errorf("after 4: %v at %d, %v", ev, rev, ok)
+	}
+	// A put of the newest value that arrives again still has its revision.
+	if r := tab.Apply(12, Command{Op: Put, Name: "g.k", Value: "10"}); r.Revision != 10 {
+		t.Errorf("repeated put got %+v", r)
+	}
+}
+
+func ExampleTable() {
+	t := NewTable()
+	a := t.Apply(1, Command{Op: Begin, Name: "press", Holder: "ann", HoldMS: 3000})
+	b := t.Apply(2, Command{Op: Begin, Name: "press", Holder: "bo", HoldMS: 3000})
+	// Ann's time has run out by the proposer's clock, which names her grant.
+	c := t.Apply(3, Command{Op: Begin, Name: "press", Holder: "bo", HoldMS: 3000, SpentFence: a.Fence, SpentGrant: a.Grant})
+	fmt.Println(a.Fence, b.Code == Held, c.Fence)
+	// Output: 1 true 3
+}
--- /dev/null
+++ b/rack/rack_test.go
@@ -0,0 +1,280 @@
+package rack_test
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"lichentray/latch"
+	"lichentray/rack"
+	"lichentray/trestle"
+)
+
+// TestAgainstPlainMap compares the store with a map that is copied whole for
+// every transaction.
+func TestAgainstPlainMap(t *testing.T) {
+	for seed := int64(0); seed < 20; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		s := rack.New()
+		model := map[string]rack.Object{}
+		rev := uint64(0)
+		for step := range 500 {
+			txn := &rack.Txn{}
+			for range r.Intn(3) {
+				k := fmt.Sprint("k", r.Intn(5))
+				txn.If = append(txn.If, rack.Condition{Key: k, ModRevision: []uint64{0, model[k].ModRevision, uint64(r.Intn(20))}[r.Intn(3)]})
+			}
+			used := map[string]bool{}
+			for range 1 + r.Intn(2) {
+				k := fmt.Sprint("k", r.Intn(5))
+				if !used[k] {
+					used[k] = true
+					txn.Then = append(txn.Then, rack.Write{Key: k, Value: []byte(fmt.Sprint(step)), Delete: r.Intn(3) == 0})
+				}
+			}
+			ok := true
+			for _, c := range txn.If {
+				ok = ok && model[c.Key].ModRevision == c.ModRevision
+			}
+			want := 0
+			if ok {
+				rev++
+				next := map[string]rack.Object{}
+				for k, o := range model {
+					next[k] = o
+				}
+				for _, w := range txn.Then {
+					old, had := model[w.Key]
+					switch {
+					case w.Delete && had:
+						delete(next, w.Key)
+						want++
+					case !w.Delete:
+						o := rack.Object{Key: w.Key, Value: w.Value, CreateRevision: rev, ModRevision: rev}
+						if had {
+							o.CreateRevision = old.CreateRevision
+						}
+						next[w.Key] = o
+						want++
+					}
+				}
+				model = next
+			}
+			cmd, err := rack.DecodeCommand(rack.EncodeCommand(rack.Command{Txn: txn}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			res, events := s.Apply(cmd)
+			if res.Conflict == ok || res.Revision != rev || len(events) != want {
+				t.Fatalf("seed %d step %d: %+v with %d events; the model says success %v at %d with %d", seed, step, res, len(events), ok, rev, want)
+			}
+			if step%97 == 0 {
+				data, err := s.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				s = rack.New()
+				if err := s.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for k := range used {
+				got, had := s.Get(k)
+				if w, ok := model[k]; had != ok || (ok && !reflect.DeepEqual(got, w)) {
+					t.Fatalf("seed %d step %d: %s is %+v, the model says %+v", seed, step, k, got, w)
+				}
+			}
+		}
+	}
+}
+
+func FuzzDecodeCommand(f *testing.F) {
+	f.Add(rack.EncodeCommand(rack.Command{Latch: &latch.Command{Op: latch.Put, Name: "g.a", Value: "v", HasExpect: true, Expect: 3}}))
+	f.Add(rack.EncodeCommand(rack.Command{Txn: &rack.Txn{If: []rack.Condition{{Key: "a", ModRevision: 7}}, Then: []rack.Write{{Key: "b", Value: []byte("x")}}}}))
+	f.Add([]byte{1, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1})
+	f.Add([]byte{2})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c, err := rack.DecodeCommand(b)
+		if err != nil {
+			return
+		}
+		again, err := rack.DecodeCommand(rack.EncodeCommand(c))
+		if err != nil || !reflect.DeepEqual(normal(c), normal(again)) {
+			t.Fatalf("%+v became %+v, %v", c, again, err)
+		}
+	})
+}
+
+func normal(c rack.Command) string { return fmt.Sprintf("%+v %+v", c.Txn, c.Latch) }
+
+// registry lets the simulator drive a store, with lock timers as a node has
+// them: from when this replica applied the grant.
+type registry struct {
+	s     *rack.Store
+	clock func() time.Duration
+	until map[string]time.Duration
+}
+
+func (g *registry) Apply(_ uint64, data []byte) any {
+	c, err := rack.DecodeCommand(data)
+	if err != nil {
+		return nil
+	}
+	res, _ := g.s.Apply(c)
+	if l := c.Latch; l != nil && res.Latch.Code == latch.OK && (l.Op == latch.Begin || l.Op == latch.Renew) {
+		g.until[l.Name] = g.clock() + time.Duration(l.HoldMS)*time.Millisecond
+	}
+	return res
+}
+func (g *registry) Snapshot() []byte { b, _ := g.s.Snapshot(); return b }
+func (g *registry) Restore(b []byte) {
+	_ = g.s.Restore(b)
+	for name, l := range g.s.Latches().Locks {
+		g.until[name] = g.clock() + time.Duration(l.HoldMS)*time.Millisecond
+	}
+}
+
+// TestLinearizable records what callers of locks, numbers and cells see while
+// the group is in trouble, and checks it against what one copy would allow.
+func TestLinearizable(t *testing.T) {
+	for seed := int64(1); seed <= 25; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { history(t, seed) })
+	}
+}
+
+func history(t *testing.T, seed int64) {
+	var c *trestle.Cluster
+	c = trestle.New(seed, 3, func() trestle.Machine {
+		return &registry{s: rack.New(), until: map[string]time.Duration{}, clock: func() time.Duration {
+			if c == nil {
+				return 0
+			}
+			return c.Now
+		}}
+	})
+	c.Run(time.Second)
+	var topNumber, topFence uint64  // given in answers so far
+	ackedPut := map[string]uint64{} // newest revision acknowledged, by key
+	valueAt := map[string]string{}  // group/revision to value
+	type hold struct {
+		holder string
+		fence  uint64
+		until  time.Duration
+	}
+	holders := map[string]hold{}
+	owner := map[uint64]string{}
+	do := func(cmd *latch.Command, done func(latch.Result)) {
+		for _, id := range c.IDs() { // whoever believes that it leads
+			n := c.Nodes[id]
+			if !c.Up(id) || n.Raft.Role().String() != "leader" || c.Rand.Intn(3) == 0 {
+				continue
+			}
+			g := n.Machine.(*registry)
+			x := *cmd
+			if l, ok := g.s.Latches().Locks[x.Name]; ok && x.Op == latch.Begin && c.Now >= g.until[x.Name] {
+				x.SpentFence, x.SpentGrant = l.Fence, l.Grant
+			}
+			c.Propose(id, rack.EncodeCommand(rack.Command{Latch: &x}), func(res any, ok bool) {
+				if r, is := res.(rack.Result); ok && is {
+					done(r.Latch)
+				}
+			})
+			return
+		}
+	}
+	for round := range 250 {
+		id := c.IDs()[c.Rand.Intn(3)]
+		switch c.Rand.Intn(8) {
+		case 0:
+			for _, o := range c.IDs() {
+				c.Cut(id, o, true)
+				c.Cut(o, id, c.Rand.Intn(2) == 0)
+			}
+		case 1, 2:
+			c.Heal()
+		case 3:
+			c.Crash(id)
+			c.Restart(id)
+		case 4:
+			c.Freeze(id, true)
+		case 5:
+			c.HangDisk(id, 300*time.Millisecond)
+		}
+		for k := range 4 {
+			sentAt := c.Now
+			key := fmt.Sprintf("g.%d", c.Rand.Intn(3))
+			switch c.Rand.Intn(4) {
+			case 0:
+				floor := topNumber
+				do(&latch.Command{Op: latch.Next, Name: "n"}, func(r latch.Result) {
+					if r.Value <= floor {
+						t.Errorf("number %d was given although %d had been given before the call", r.Value, floor)
+					}
+					topNumber = max(topNumber, r.Value)
+				})
+			case 1:
+				who := fmt.Sprint("h", c.Rand.Intn(4))
+				floor := topFence
+				do(&latch.Command{Op: latch.Begin, Name: "l", Holder: who, HoldMS: 200}, func(r latch.Result) {
+					if r.Code != latch.OK {
+						return
+					}
+					if h := holders["l"]; h.holder != who && h.holder != "" && c.Now < h.until {
+						t.Errorf("%s holds until %v, %s got the lock at %v", h.holder, h.until, who, c.Now)
+					} else if o, given := owner[r.Fence]; (given && o != who) || (!given && r.Fence <= floor) {
+						t.Errorf("fence %d does not exceed %d", r.Fence, floor)
+					}
+					owner[r.Fence] = who
+					topFence = max(topFence, r.Fence)
+					if end := sentAt + 200*time.Millisecond; end > c.Now {
+						holders["l"] = hold{who, r.Fence, end}
+					}
+				})
+			case 2:
+				v := fmt.Sprint(round, "-", k)
+				floor := ackedPut[key]
+				do(&latch.Command{Op: latch.Put, Name: key, Value: v}, func(r latch.Result) {
+					if r.Revision <= floor {
+						t.Errorf("put got revision %d, not above %d", r.Revision, floor)
+					}
+					at := fmt.Sprint("g/", r.Revision)
+					if was, ok := valueAt[at]; ok && was != v {
+						t.Errorf("revision %d has two values", r.Revision)
+					}
+					valueAt[at] = v
+					ackedPut[key] = max(ackedPut[key], r.Revision)
+				})
+			case 3:
+				floor := ackedPut[key]
+				n := c.Nodes[id]
+				c.Read(id, func(ok bool) {
+					if cell := n.Machine.(*registry).s.Latches().Cells[key]; ok && cell.Revision < floor {
+						t.Errorf("read of %s at revision %d, although %d was acknowledged before it", key, cell.Revision, floor)
+					}
+				})
+			}
+			c.Run(time.Duration(5+c.Rand.Intn(40)) * time.Millisecond)
+		}
+		if c.Broken != "" {
+			t.Fatal(c.Broken)
+		}
+	}
+	if topNumber == 0 || topFence == 0 || len(ackedPut) == 0 {
+		t.Errorf("nothing was served: number %d, fence %d, puts %v", topNumber, topFence, ackedPut)
+	}
+}
+
+func Example() {
+	s := rack.New()
+	put := func(mod uint64, v string) rack.Result {
+		r, _ := s.Apply(rack.Command{Txn: &rack.Txn{
+			If:   []rack.Condition{{Key: "endpoints/a", ModRevision: mod}},
+			Then: []rack.Write{{Key: "endpoints/a", Value: []byte(v)}},
+		}})
+		return r
+	}
+	fmt.Println(put(0, "ready").Revision, put(0, "again").Conflict, put(1, "draining").Revision)
+	// Output: 1 true 2
+}
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -124,10 +124,6 @@
 
 // Apply takes one event; one that is already contained changes nothing.
 func (m *Mirror) Apply(e rack.Event) (changed bool) {
-	old, had := m.objects[e.Object.Key]
-	if had && old.ModRevision >= e.Revision {
-		return false
-	}
 	if e.Revision < m.revision {
 		return false
 	}
--- /dev/null
+++ b/spool/spool_test.go
@@ -0,0 +1,110 @@
+package spool_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"lichentray/rack"
+	"lichentray/spool"
+)
+
+// TestMirrorIsExact: a reader that lists once and then watches, with breaks,
+// resumptions, bookmarks and lists after Gone, holds at every revision exactly
+// what the store held.
+func TestMirrorIsExact(t *testing.T) {
+	for seed := int64(0); seed < 30; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		s := rack.New()
+		c := spool.NewCacher(200*time.Millisecond, 12)
+		m := spool.NewMirror()
+		lists := 0
+		for step := range 800 {
+			now := time.Duration(step) * 10 * time.Millisecond
+			if r.Intn(3) > 0 {
+				txn := &rack.Txn{}
+				for range 1 + r.Intn(2) {
+					txn.Then = append(txn.Then, rack.Write{Key: fmt.Sprint("k", r.Intn(6)), Value: []byte(fmt.Sprint(step)), Delete: r.Intn(4) == 0})
+				}
+				_, ev := s.Apply(rack.Command{Txn: txn})
+				c.Append(now, s.Revision(), ev)
+			}
+			if r.Intn(6) > 0 {
+				continue // the reader is away or slow
+			}
+			if !m.Listed() {
+				if err := m.Reset(s.Revision(), s.List("")); err != nil {
+					t.Fatal(err)
+				}
+				lists++
+			}
+			for {
+				events, err := c.Since(m.Revision(), 3)
+				if errors.Is(err, spool.ErrGone) {
+					if err := m.Reset(s.Revision(), s.List("")); err != nil {
+						t.Fatal(err)
+					}
+					lists++
+					break
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(events) == 0 {
+					m.Bookmark(c.Revision())
+					break
+				}
+				for _, e := range events {
+					m.Apply(e)
+				}
+			}
+			want := map[string]rack.Object{}
+			for _, o := range s.List("") {
+				want[o.Key] = o
+			}
+			if m.Revision() != s.Revision() || !reflect.DeepEqual(m.Objects(), want) {
+				t.Fatalf("seed %d step %d: copy at %d is %v, the store at %d holds %v", seed, step, m.Revision(), m.Objects(), s.Revision(), want)
+			}
+		}
+		if lists < 2 {
+			t.Errorf("seed %d: the window was never left", seed)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	c := spool.NewCacher(time.Second, 10)
+	c.Reset(5)
+	if _, err := c.Since(6, 1); !errors.Is(err, spool.ErrAhead) {
+		t.Errorf("a cache behind its reader said %v", err)
+	}
+	if _, err := c.Since(4, 1); !errors.Is(err, spool.ErrGone) {
+		t.Errorf("a cursor before the window got %v", err)
+	}
+	m := spool.NewMirror()
+	_ = m.Reset(9, nil)
+	if err := m.Reset(8, nil); !errors.Is(err, spool.ErrAhead) {
+		t.Errorf("an older list got %v", err)
+	}
+}
+
+func Example() {
+	s, c := rack.New(), spool.NewCacher(time.Minute, 100)
+	write := func(key string) {
+		_, ev := s.Apply(rack.Command{Txn: &rack.Txn{Then: []rack.Write{{Key: key}}}})
+		c.Append(0, s.Revision(), ev)
+	}
+	write("a")
+	m := spool.NewMirror()
+	_ = m.Reset(s.Revision(), s.List("")) // list at N
+	write("b")
+	events, _ := c.Since(m.Revision(), 10) // watch from N+1
+	for _, e := range events {
+		m.Apply(e)
+	}
+	fmt.Println(m.Revision(), len(m.Objects()))
+	// Output: 2 2
+}
