--- /dev/null
+++ b/cmd/gauge/main.go
@@ -0,0 +1,413 @@
+// Command gauge is the operator's command line: it checks settings and
+// configurations, reads and replaces the configuration, and shows the state of
+// the control plane.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lichentray/internal/caliper"
+	"lichentray/internal/daemon"
+	"lichentray/internal/lathe"
+	"lichentray/jig"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitInvalid = 3
+	exitUnknown = 4
+)
+
+const help = `gauge is the operator's command line of lichentray.
+
+Usage:
+  gauge settings check [FILE]     check a settings file
+  gauge config check FILE         check a configuration ("-" is standard input)
+  gauge config read               print the newest configuration
+  gauge config replace FILE       put a configuration in force
+  gauge status                    show members, leader, revisions and proxies
+  gauge version
+
+Flags, after the command:
+  --nodes A,B      control_plane addresses to ask (default: seed_nodes of the settings)
+  --config FILE    settings file ($LICHENTRAY_CONFIG or /etc/lichentray/node.toml)
+  --timeout D      longest time for the whole command (default 10s)
+  --output FORM    text or json (default text)
+
+Exit codes:
+  0  done
+  1  failed: no node could be reached or none could do it; nothing was changed
+  2  wrong usage
+  3  the settings or the configuration are invalid; nothing was changed
+  4  the outcome is not known: a replace may or may not be in force
+`
+
+// failure is an error with its exit code.
+type failure struct {
+	code int
+	err  error
+}
+
+func (f *failure) Error() string { return f.err.Error() }
+
+func fail(code int, format string, args ...any) error {
+	return &failure{code, fmt.Errorf(format, args...)}
+}
+
+type tool struct {
+	out     io.Writer
+	nodes   []string
+	set     string
+	until   time.Time
+	json    bool
+	args    []string
+	command string
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+func run(args []string, in io.Reader, out, errs io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(errs, help)
+		return exitUsage
+	}
+	if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
+		fmt.Fprint(out, help)
+		return exitOK
+	}
+	if args[0] == "version" || args[0] == "--version" {
+		fmt.Fprintln(out, daemon.VersionLine("gauge"))
+		return exitOK
+	}
+	t := &tool{out: out}
+	err := t.do(args, in)
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprint(out, help)
+		return exitOK
+	}
+	if err == nil {
+		return exitOK
+	}
+	code := exitFailed
+	var f *failure
+	if errors.As(err, &f) {
+		code = f.code
+	}
+	if t.json {
+		_ = json.NewEncoder(out).Encode(map[string]any{"error": err.Error(), "exit_code": code}) // standard output gone is told by nobody
+	} else {
+		fmt.Fprintf(errs, "gauge: %v\n", err)
+		if code == exitUsage {
+			fmt.Fprintln(errs, `gauge: see "gauge --help"`)
+		}
+	}
+	return code
+}
+
+func (t *tool) do(args []string, in io.Reader) error {
+	commands := map[string]func(io.Reader) error{
+		"settings check": t.settingsCheck, "config check": t.configCheck, "config read": t.configRead,
+		"config replace": t.configReplace, "status": t.status,
+	}
+	do := commands[args[0]]
+	t.command = args[0]
+	rest := args[1:]
+	if do == nil && len(args) > 1 {
+		t.command = args[0] + " " + args[1]
+		do, rest = commands[t.command], args[2:]
+	}
+	if do == nil {
+		return fail(exitUsage, "no command %q", strings.Join(args, " "))
+	}
+	fs := flag.NewFlagSet("gauge", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	nodes := fs.String("nodes", "", "")
+	fs.StringVar(&t.set, "config", "", "")
+	timeout := fs.Duration("timeout", 10*time.Second, "")
+	form := fs.String("output", "text", "")
+	for { // flags may stand before and after the file
+		if err := fs.Parse(rest); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return err
+			}
+			return fail(exitUsage, "%v", err)
+		}
+		if fs.NArg() == 0 {
+			break
+		}
+		t.args = append(t.args, fs.Arg(0))
+		rest = fs.Args()[1:]
+	}
+	switch *form {
+	case "text":
+	case "json":
+		t.json = true
+	default:
+		return fail(exitUsage, "--output is text or json, not %q", *form)
+	}
+	if *timeout <= 0 {
+		return fail(exitUsage, "--timeout must be above 0")
+	}
+	t.until = time.Now().Add(*timeout)
+	if *nodes != "" {
+		t.nodes = strings.Split(*nodes, ",")
+	}
+	return do(in)
+}
+
+func (t *tool) print(text string, value any) error {
+	if t.json {
+		enc := json.NewEncoder(t.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	}
+	_, err := fmt.Fprintln(t.out, text)
+	return err
+}
+
+func (t *tool) settingsCheck(io.Reader) error {
+	path := caliper.Path(t.set)
+	if len(t.args) > 1 {
+		return fail(exitUsage, "settings check takes one file")
+	}
+	if len(t.args) == 1 {
+		path = t.args[0]
+	}
+	s, err := caliper.Load(path)
+	if err != nil {
+		return fail(exitInvalid, "%v", err)
+	}
+	return t.print(fmt.Sprintf("%s: valid, node %s in zone %s", path, s.NodeName, s.Zone),
+		map[string]any{"valid": true, "file": path, "node_name": s.NodeName, "zone": s.Zone, "serves": s.Serves})
+}
+
+func (t *tool) file(in io.Reader) ([]byte, error) {
+	if len(t.args) != 1 {
+		return nil, fail(exitUsage, "%s takes one file", t.command)
+	}
+	if t.args[0] == "-" {
+		return io.ReadAll(in)
+	}
+	return os.ReadFile(t.args[0])
+}
+
+func (t *tool) readConfig(in io.Reader) ([]byte, *jig.Configuration, error) {
+	text, err := t.file(in)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := jig.Read(text)
+	if err != nil {
+		return nil, nil, fail(exitInvalid, "configuration: %v", err)
+	}
+	return text, c, nil
+}
+
+func describe(c *jig.Configuration) (string, map[string]any) {
+	n := 0
+	for _, l := range c.Listeners {
+		n += len(l.Rules)
+	}
+	return fmt.Sprintf("version %d, %d routes on %d hosts, %d services", c.Version, n, len(c.Listeners), len(c.Clusters)),
+		map[string]any{"config_version": c.Version, "routes": n, "hosts": len(c.Listeners), "services": len(c.Clusters)}
+}
+
+func (t *tool) configCheck(in io.Reader) error {
+	_, c, err := t.readConfig(in)
+	if err != nil {
+		return err
+	}
+	text, m := describe(c)
+	m["valid"] = true
+	return t.print("valid: "+text, m)
+}
+
+// where lists the nodes to ask.
+func (t *tool) where() ([]string, error) {
+	if len(t.nodes) > 0 {
+		return t.nodes, nil
+	}
+	s, err := caliper.Load(caliper.Path(t.set))
+	if err != nil {
+		return nil, fail(exitUsage, "no --nodes given, and the settings do not help: %v", err)
+	}
+	return s.Seeds, nil
+}
+
+// call asks one node. sent tells whether it may have got the call.
+func (t *tool) call(node, method, path string, body []byte) (status int, answer []byte, sent bool, err error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + node + path)
+	req.Header.SetMethod(method)
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBody(body)
+	}
+	req.SetConnectionClose()
+	dialled := false
+	c := fasthttp.HostClient{Addr: node, MaxIdemponentCallAttempts: 1, Dial: func(addr string) (conn net.Conn, err error) {
+		conn, err = fasthttp.DialTimeout(addr, max(time.Millisecond, min(2*time.Second, time.Until(t.until))))
+		dialled = err == nil
+		return conn, err
+	}}
+	// One node gets a part of the time, so that another can be asked.
+	if err := c.DoTimeout(req, resp, max(time.Millisecond, min(3*time.Second, time.Until(t.until)))); err != nil {
+		return 0, nil, dialled, err
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), true, nil
+}
+
+func (t *tool) configRead(io.Reader) error {
+	nodes, err := t.where()
+	if err != nil {
+		return err
+	}
+	var last error
+	for time.Now().Before(t.until) {
+		for _, n := range nodes {
+			status, body, _, err := t.call(n, "POST", "/api/rpc?call=configuration.read", []byte{})
+			switch {
+			case err != nil:
+				last = fmt.Errorf("%s: %w", n, err)
+			case status == 200:
+				_, err := fmt.Fprintln(t.out, string(body))
+				return err
+			case status == 404:
+				return fail(exitFailed, "%s: there is no configuration yet", n)
+			default:
+				last = fmt.Errorf("%s answered %d: %s", n, status, body)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fail(exitFailed, "no node gave the configuration: %v", last)
+}
+
+func (t *tool) configReplace(in io.Reader) error {
+	text, c, err := t.readConfig(in)
+	if err != nil {
+		return err
+	}
+	nodes, err := t.where()
+	if err != nil {
+		return err
+	}
+	var last error
+	unclear := false
+	for time.Now().Before(t.until) {
+		for _, n := range nodes {
+			status, body, sent, err := t.call(n, "POST", "/api/rpc?call=configuration.replace", text)
+			switch {
+			case err != nil:
+				unclear = unclear || sent
+				last = fmt.Errorf("%s: %w", n, err)
+			case status == 200:
+				what, m := describe(c)
+				m["acknowledged"], m["node"] = true, n
+				return t.print("acknowledged by "+n+": "+what+"\n(a version that is not above the one held changes nothing)", m)
+			case status >= 400 && status < 500 && status != 408 && status != 429:
+				return fail(exitInvalid, "%s refused it with %d: %s", n, status, body)
+			default:
+				unclear = unclear || status != 503 && status != 429
+				last = fmt.Errorf("%s answered %d: %s", n, status, body)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	if unclear {
+		return fail(exitUnknown, "no clear answer, the configuration may or may not be in force: %v", last)
+	}
+	return fail(exitFailed, "no node took the configuration: %v", last)
+}
+
+func (t *tool) status(io.Reader) error {
+	nodes, err := t.where()
+	if err != nil {
+		return err
+	}
+	asked := map[string]bool{}
+	var all []lathe.Status
+	type unheard struct {
+		Node  string `json:"control_plane"`
+		Error string `json:"error"`
+	}
+	var missing []unheard
+	for len(nodes) > 0 {
+		n := nodes[0]
+		nodes = nodes[1:]
+		if asked[n] {
+			continue
+		}
+		asked[n] = true
+		code, body, _, err := t.call(n, "GET", "/api/status", nil)
+		var s lathe.Status
+		if err == nil && code == 200 {
+			err = json.Unmarshal(body, &s)
+		} else if err == nil {
+			err = fmt.Errorf("answered %d", code)
+		}
+		if err != nil {
+			missing = append(missing, unheard{n, err.Error()})
+			continue
+		}
+		all = append(all, s)
+		for _, m := range s.Members {
+			nodes = append(nodes, m.API)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Node < all[j].Node })
+	if len(all) == 0 {
+		return fail(exitFailed, "no node answered: %v", missing)
+	}
+	if t.json {
+		return t.print("", map[string]any{"nodes": all, "unheard": missing})
+	}
+	w := tabwriter.NewWriter(t.out, 2, 4, 2, ' ', 0)
+	var lead *lathe.Status
+	newest := uint64(0)
+	for i := range all {
+		newest = max(newest, all[i].Revision)
+		if all[i].Role == "leader" && (lead == nil || all[i].Term > lead.Term) {
+			lead = &all[i]
+		}
+	}
+	fmt.Fprintln(w, "NODE\tMEMBER\tROLE\tTERM\tIN TOUCH\tCOMMIT\tDURABLE\tREVISION\tLAG\tCONFIG\tENDPOINTS\tDRAINING\tPROXIES")
+	for _, s := range all {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", s.Node, s.ID, s.Role, s.Term, s.Fresh, s.Commit, s.Stable, s.Revision, newest-s.Revision, s.Config, s.Endpoints, s.Draining, len(s.Proxies))
+	}
+	if lead == nil {
+		fmt.Fprintln(w, "\nno leader was found")
+	} else {
+		fmt.Fprintln(w, "\nMEMBER\tINTERNAL ADDRESS\tVOTES\tMATCH\tHEARD")
+		for _, m := range lead.Members {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%d ms ago\n", m.ID, m.Addr, m.Voter, m.Match, m.AgoMS)
+		}
+	}
+	fmt.Fprintln(w, "\nPROXY\tWATCHES AT\tREVISION")
+	for _, s := range all {
+		for _, p := range s.Proxies {
+			fmt.Fprintf(w, "%s\t%s\t%d\n", p.Node, s.Node, p.Revision)
+		}
+	}
+	for _, m := range missing {
+		fmt.Fprintf(w, "\n%s does not answer: %s\n", m.Node, m.Error)
+	}
+	return w.Flush()
+}
--- a/cmd/vise/main.go
+++ b/cmd/vise/main.go
@@ -21,6 +21,11 @@
 
 func main() { os.Exit(daemon.Main("vise", "the control-plane node", run)) }
 
+// apiNode lets the API print the node's state without knowing its shape.
+type apiNode struct{ *lathe.Lathe }
+
+func (n apiNode) Status() any { return n.Lathe.Status() }
+
 func run(path string, set *caliper.Settings, log *slog.Logger, sig *daemon.Signals) error {
 	if set.Listen.Control == "" {
 		return errors.New("listen_addresses.control_plane: missing, vise serves control")
@@ -34,7 +39,7 @@
 		return err
 	}
 	defer node.Close()
-	api := hatch.NewAPI(node, board, set.Bounds.HistoryRetention.D())
+	api := hatch.NewAPI(apiNode{node}, board, set.Bounds.HistoryRetention.D())
 	srv := hatch.Server(api.Serve, 16<<20)
 	ln, err := net.Listen("tcp4", set.Listen.Control)
 	if err != nil {
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -34,7 +34,6 @@
 const (
 	Peer  Role = iota + 1 // a control-plane node
 	Proxy                 // a proxy node
-	Tool                  // the operator's command line
 )
 
 // Hello opens a connection.
@@ -62,7 +61,6 @@
 	List    bool          // a list behind a read point, then the watch
 	Least   uint64        // the list or watch must reach this revision
 	Watch   bool          // events after Least
-	Status  bool
 }
 
 // Answer answers an Ask.
@@ -78,7 +76,6 @@
 	Revision uint64
 	Objects  []rack.Object
 	Gone     bool
-	Status   *Status
 }
 
 // Bookmark tells a proxy how far the stream is and whom else it may ask.
@@ -88,39 +85,6 @@
 	Proxies  int
 }
 
-// NodeStatus is one member's state as the asked node sees it.
-type NodeStatus struct {
-	ID    uint64
-	Addr  string
-	API   string
-	Voter bool
-	Match uint64
-	AgoMS int64
-}
-
-// ProxyStatus is one proxy's state as its control-plane node sees it.
-type ProxyStatus struct {
-	Node     string
-	Revision uint64
-}
-
-// Status is what a control-plane node tells of itself.
-type Status struct {
-	Node      string
-	ID        uint64
-	Role      string
-	Term      uint64
-	Leader    uint64
-	Commit    uint64
-	Stable    uint64
-	Revision  uint64
-	Config    uint64
-	Endpoints int
-	Draining  int
-	Members   []NodeStatus
-	Proxies   []ProxyStatus
-}
-
 // Frame is one message. Only what is set is sent.
 type Frame struct {
 	Hello    *Hello
--- a/internal/hatch/hatch.go
+++ b/internal/hatch/hatch.go
@@ -27,6 +27,7 @@
 	Do(cmd rack.Command) (rack.Result, error)
 	Cell(name string) (latch.Cell, error)
 	Watch(group string, after uint64, wait time.Duration) ([]latch.Event, uint64, error)
+	Status() any
 }
 
 // API serves the control plane's calls.
@@ -121,6 +122,8 @@
 		return "watch", answer, err
 	case path == "/api/readiness" && ctx.IsGet():
 		return "readiness", nil, nil
+	case path == "/api/status" && ctx.IsGet():
+		return "status", a.node.Status(), nil
 	case path == "/metrics" && ctx.IsGet():
 		return "metrics", text(Metrics(a.board)), nil
 	}
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -767,49 +767,6 @@
 	return l.view.freshAt != 0 && l.now()-l.view.freshAt <= l.timing.Election
 }
 
-// Status tells the node's state.
-func (l *Lathe) Status() *dowel.Status {
-	got := make(chan *dowel.Status, 1)
-	l.post(func() {
-		n := l.node
-		now := l.now()
-		s := &dowel.Status{Node: l.set.NodeName, ID: l.self.ID, Role: n.Role().String(), Term: n.Term(), Leader: n.Leader(), Commit: n.Commit(), Stable: n.Stable()}
-		ms := n.Members()
-		for _, m := range ms.All() {
-			st := dowel.NodeStatus{ID: m.ID, Addr: m.Addr, API: m.API, Voter: ms.Voter(m.ID), AgoMS: -1}
-			if n.Role() == clamp.Leader {
-				st.Match = n.Match(m.ID)
-				if m.ID != l.self.ID {
-					st.AgoMS = (now - n.Heard(m.ID)).Milliseconds()
-				} else {
-					st.AgoMS = 0
-				}
-			}
-			s.Members = append(s.Members, st)
-		}
-		got <- s
-	})
-	select {
-	case s := <-got:
-		l.mu.RLock()
-		defer l.mu.RUnlock()
-		s.Revision = l.store.Revision()
-		for _, o := range l.store.List(rack.EndpointPrefix) {
-			s.Endpoints++
-			if e, err := rack.DecodeEndpoint(o); err == nil && e.Draining {
-				s.Draining++
-			}
-		}
-		s.Config = l.configVersion()
-		for p := range l.sessions {
-			s.Proxies = append(s.Proxies, dowel.ProxyStatus{Node: p.node, Revision: p.acked.Load()})
-		}
-		return s
-	case <-l.ctx.Done():
-		return &dowel.Status{Node: l.set.NodeName}
-	}
-}
-
 // configVersion reads the version that stands before the stored text.
 func (l *Lathe) configVersion() uint64 {
 	o, ok := l.store.Get(rack.ConfigKey)
--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -197,10 +197,10 @@
 		s := x.Status()
 		votes := false
 		for _, m := range s.Members {
-			if m.ID == oldID {
+			if m.ID == hexID(oldID) {
 				return false
 			}
-			votes = votes || (m.ID == l[lost].self.ID && m.Voter)
+			votes = votes || (m.ID == hexID(l[lost].self.ID) && m.Voter)
 		}
 		return votes && len(s.Members) == 3
 	})
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -258,8 +258,6 @@
 		l.servePeer(conn, hello)
 	case dowel.Proxy:
 		l.serveProxy(conn, hello)
-	case dowel.Tool:
-		l.serveTool(conn)
 	}
 }
 
@@ -344,8 +342,6 @@
 		if err := l.admit(*a.Join); err != nil {
 			ans = failed(a.ID, err)
 		}
-	case a.Status:
-		ans.Status = l.Status()
 	}
 	_ = conn.Send(&dowel.Frame{Answer: ans}) // a broken connection ends at its reader
 }
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -159,18 +159,3 @@
 		}
 	}
 }
-
-// serveTool answers the operator's command line.
-func (l *Lathe) serveTool(conn *dowel.Conn) {
-	for {
-		f, err := conn.Receive(l.timing.Answer * 10)
-		if err != nil {
-			return
-		}
-		if f.Ask != nil && f.Ask.Status {
-			if conn.Send(&dowel.Frame{Answer: &dowel.Answer{ID: f.Ask.ID, Status: l.Status()}}) != nil {
-				return
-			}
-		}
-	}
-}
--- /dev/null
+++ b/internal/lathe/status.go
@@ -0,0 +1,87 @@
+package lathe
+
+import (
+	"fmt"
+
+	"lichentray/clamp"
+	"lichentray/rack"
+)
+
+// MemberStatus is one member of the core as the asked node sees it.
+type MemberStatus struct {
+	ID    string `json:"id"`
+	Addr  string `json:"internal_address"`
+	API   string `json:"control_plane"`
+	Voter bool   `json:"voter"`
+	// Match and AgoMS are known at the leader only; AgoMS is -1 elsewhere.
+	Match uint64 `json:"match_index"`
+	AgoMS int64  `json:"heard_ms_ago"`
+}
+
+// ProxyStatus is one proxy node that watches at the asked node.
+type ProxyStatus struct {
+	Node     string `json:"node"`
+	Revision uint64 `json:"revision"`
+}
+
+// Status is what a control-plane node tells of itself.
+type Status struct {
+	Node      string         `json:"node"`
+	ID        string         `json:"id"`
+	Role      string         `json:"role"`
+	Term      uint64         `json:"term"`
+	Leader    string         `json:"leader"`
+	Commit    uint64         `json:"commit_index"`
+	Stable    uint64         `json:"durable_index"`
+	Revision  uint64         `json:"revision"`
+	Config    uint64         `json:"config_version"`
+	Endpoints int            `json:"endpoints"`
+	Draining  int            `json:"draining"`
+	Fresh     bool           `json:"in_touch"`
+	Members   []MemberStatus `json:"members"`
+	Proxies   []ProxyStatus  `json:"proxies"`
+}
+
+func hexID(id uint64) string { return fmt.Sprintf("%016x", id) }
+
+// Status tells the node's state.
+func (l *Lathe) Status() *Status {
+	got := make(chan *Status, 1)
+	l.post(func() {
+		n := l.node
+		now := l.now()
+		s := &Status{Node: l.set.NodeName, ID: hexID(l.self.ID), Role: n.Role().String(), Term: n.Term(), Leader: hexID(n.Leader()), Commit: n.Commit(), Stable: n.Stable()}
+		ms := n.Members()
+		for _, m := range ms.All() {
+			st := MemberStatus{ID: hexID(m.ID), Addr: m.Addr, API: m.API, Voter: ms.Voter(m.ID), AgoMS: -1}
+			if n.Role() == clamp.Leader {
+				st.Match, st.AgoMS = n.Match(m.ID), 0
+				if m.ID != l.self.ID {
+					st.AgoMS = (now - n.Heard(m.ID)).Milliseconds()
+				}
+			}
+			s.Members = append(s.Members, st)
+		}
+		got <- s
+	})
+	select {
+	case s := <-got:
+		s.Fresh = l.fresh()
+		l.mu.RLock()
+		defer l.mu.RUnlock()
+		s.Revision = l.store.Revision()
+		for _, o := range l.store.List(rack.EndpointPrefix) {
+			s.Endpoints++
+			if e, err := rack.DecodeEndpoint(o); err == nil && e.Draining {
+				s.Draining++
+			}
+		}
+		s.Config = l.configVersion()
+		for p := range l.sessions {
+			s.Proxies = append(s.Proxies, ProxyStatus{Node: p.node, Revision: p.acked.Load()})
+		}
+		return s
+	case <-l.ctx.Done():
+		return &Status{Node: l.set.NodeName}
+	}
+}
