--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -357,3 +357,34 @@
 		t.Errorf("an older configuration came into force: %d", s)
 	}
 }
+
+// TestIdleConnectionOutlivesADeadline: the deadline of the last request says
+// nothing about an idle connection; unasked bytes and an end do.
+func TestIdleConnectionOutlivesADeadline(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	u, err := dialUpstream(ln.Addr().String(), 5*time.Second, 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := u.raw.SetDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if !u.silent() {
+		t.Error("a sound idle connection was given up")
+	}
+	if _, err := io.WriteString(other, "x"); err != nil {
+		t.Fatal(err)
+	}
+	_ = u.raw.SetDeadline(time.Time{})
+	if _, err := u.br.Peek(1); err != nil || u.silent() {
+		t.Errorf("unasked bytes were not seen: %v", err)
+	}
+}
--- a/internal/plane/upstream.go
+++ b/internal/plane/upstream.go
@@ -93,11 +93,11 @@
 		return false
 	}
 	sound := false
-	err := u.rc.Read(func(fd uintptr) bool {
+	// Control, as Read would fail once the last request's deadline has passed.
+	err := u.rc.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		sound = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && sound
 }
