--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -135,7 +135,7 @@
 	if s == nil {
 		s = &service{
 			name: name, shelves: map[*balance.Endpoint]*shelf{},
-			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.25}),
+			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.6}),
 			budget: balance.NewBudget(p.set.Bounds.RetryBudgetRatio*0.95, 1),
 		}
 		p.services[name] = s
