--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -63,8 +63,12 @@
 	}
 	r := p.routing.Load()
 	if r == nil {
-		p.refuse(ctx, notch.New(notch.Unavailable, "no configuration yet"))
-		return
+		if r = p.awaitView(ctx); r == nil {
+			p.refuse(ctx, notch.New(notch.Unavailable, "no configuration yet"))
+			// The first view comes soon after a start, or not for long.
+			ctx.Response.Header.Set("Retry-After", seconds(2*p.timing.Dial+p.timing.Dial*time.Duration(rand.Intn(100))/100))
+			return
+		}
 	}
 	buf := heads.Get().(*[]byte)
 	defer heads.Put(buf)
@@ -82,6 +86,24 @@
 	p.forward(&req)
 }
 
+// awaitView lets a request that came before the first view wait a moment for
+// it, while that still leaves the client its time to ask elsewhere.
+func (p *Plane) awaitView(ctx *fasthttp.RequestCtx) *routing {
+	wait := p.timing.Dial / 2
+	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek("X-Deadline"))); err == nil {
+		wait = min(wait, time.Duration(ms)*time.Millisecond/10)
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-p.viewed:
+	case <-t.C:
+	}
+	return p.routing.Load()
+}
+
+func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // read checks the request's framing and builds what goes to the endpoint.
 func (q *request) read(r *routing, head []byte) error {
 	h := &q.ctx.Request.Header
@@ -614,7 +636,7 @@
 	ctx.SetStatusCode(kind.Status())
 	if s := kind.Status(); s == 503 || s == 429 {
 		p.n.refused.Inc()
-		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(0.1+0.1*rand.Float64(), 'f', 3, 64))
+		ctx.Response.Header.Set("Retry-After", seconds(p.timing.Dial*2/3+p.timing.Dial*2/3*time.Duration(rand.Intn(100))/100))
 	}
 	ctx.SetContentType("application/json")
 	ctx.SetBodyString(`{"error":"` + kind.String() + `"}`)
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -56,6 +56,7 @@
 	seeds  atomic.Pointer[[]string]
 
 	routing  atomic.Pointer[routing]
+	viewed   chan struct{} // closed once there is a first view
 	stopping atomic.Bool
 	inflight atomic.Int64
 	proxies  atomic.Int64
@@ -106,7 +107,7 @@
 
 // New makes a proxy node that knows nothing yet.
 func New(set *caliper.Settings, log *slog.Logger, board *dial.Board) *Plane {
-	p := &Plane{set: set, timing: TimingOf(set), log: log, board: board, start: time.Now(), mirror: spool.NewMirror(), services: map[string]*service{}}
+	p := &Plane{set: set, timing: TimingOf(set), log: log, board: board, start: time.Now(), mirror: spool.NewMirror(), viewed: make(chan struct{}), services: map[string]*service{}}
 	p.seeds.Store(&set.Seeds)
 	c := board.Counter
 	p.n = counters{
@@ -171,7 +172,13 @@
 	have := map[string]bool{}
 	for _, o := range p.mirror.Objects() {
 		have[o.Key] = true
-		p.takeObject(o, false)
+		if o.Key != rack.ConfigKey {
+			p.takeObject(o, false)
+		}
+	}
+	// Last, so that no request meets routes without endpoints.
+	if o, ok := p.mirror.Objects()[rack.ConfigKey]; ok {
+		p.takeConfig(o)
 	}
 	for _, s := range p.services {
 		s.mu.Lock()
@@ -283,6 +290,9 @@
 		r.routes = append(r.routes, st)
 	}
 	p.routing.Store(r)
+	if old == nil {
+		close(p.viewed)
+	}
 	p.n.config.Set(int64(c.Version))
 	p.log.Info("configuration in force", "version", c.Version)
 }
