--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -57,10 +57,12 @@
 func (p *Plane) Serve(ctx *fasthttp.RequestCtx) {
 	p.n.requests.Inc()
 	p.inflight.Add(1)
-	defer p.inflight.Add(-1)
-	if p.stopping.Load() {
-		ctx.SetConnectionClose()
-	}
+	defer func() {
+		p.inflight.Add(-1)
+		if p.stopping.Load() {
+			ctx.SetConnectionClose()
+		}
+	}()
 	r := p.routing.Load()
 	if r == nil {
 		if r = p.awaitView(ctx); r == nil {
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -94,6 +94,11 @@
 
 // front starts a proxy node on the loopback that knows the given endpoints.
 func front(t *testing.T, endpoints ...*endpoint) (*Plane, string) {
+	p, f := newFront(t, endpoints...)
+	return p, f.ln.Addr().String()
+}
+
+func newFront(t *testing.T, endpoints ...*endpoint) (*Plane, *Front) {
 	set := vicetest.Settings(t, "127.0.0.1", "", 1, 2, []string{"127.0.0.1"}, false)
 	p := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), dial.NewBoard())
 	p.takeObject(rack.Object{Key: rack.ConfigKey, Value: append(make([]byte, 8), routes...)}, false)
@@ -111,7 +116,7 @@
 	f := NewFront(p, ln)
 	go func() { _ = f.Run() }()
 	t.Cleanup(func() { ln.Close() })
-	return p, ln.Addr().String()
+	return p, f
 }
 
 // send writes raw bytes and reads all answers until the node closes or the
@@ -388,3 +393,47 @@
 		t.Errorf("unasked bytes were not seen: %v", err)
 	}
 }
+
+// TestStopFinishesWhatWasRead: a node told to end is not ready at once, answers
+// what it has read, ends idle connections, and waits no longer than it must.
+func TestStopFinishesWhatWasRead(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	e := newEndpoint(t, func(int, string) string {
+		close(started)
+		<-finish
+		return ok("whole")
+	})
+	p, f := newFront(t, e)
+	addr := f.ln.Addr().String()
+	idle, err := net.Dial("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	answered := make(chan []*http.Response, 1)
+	go func() { answered <- send(t, addr, strings.Replace(post("/once/a"), "Connection: close\r\n", "", 1), 1) }()
+	<-started
+	stopped := make(chan struct{})
+	go func() {
+		f.Stop(4 * time.Second)
+		close(stopped)
+	}()
+	<-f.done // it no longer accepts, and the request is still at the endpoint
+	if p.Ready() {
+		t.Error("a stopping node calls itself ready")
+	}
+	select {
+	case <-stopped:
+		t.Fatal("it ended with a request in hand")
+	default:
+	}
+	close(finish)
+	rs := <-answered
+	if status(rs) != 200 || !rs[0].Close {
+		t.Errorf("answered %d, kept open %v", status(rs), len(rs) == 1 && !rs[0].Close)
+	}
+	<-stopped
+	if _, err := idle.Read(make([]byte, 1)); err == nil {
+		t.Error("the idle connection got bytes")
+	}
+}
--- a/internal/plane/server.go
+++ b/internal/plane/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -19,14 +20,15 @@
 	ln   net.Listener
 	mu   sync.Mutex
 	srv  *fasthttp.Server
-	all  []*fasthttp.Server
 	held jig.Limits
+	// open holds every client connection; true while a request is on it.
+	open map[net.Conn]bool
 	done chan struct{}
 }
 
 // NewFront makes the server of a listener.
 func NewFront(p *Plane, ln net.Listener) *Front {
-	return &Front{p: p, ln: ln, done: make(chan struct{})}
+	return &Front{p: p, ln: ln, open: map[net.Conn]bool{}, done: make(chan struct{})}
 }
 
 func orElse(s float64, other time.Duration) time.Duration {
@@ -56,11 +58,59 @@
 		return fasthttp.RequestConfig{ReadTimeout: 4 * s.ReadTimeout}
 	}
 	s.ErrorHandler = f.unreadable
+	s.ConnState = f.track
 	f.srv, f.held = s, limits
-	f.all = append(f.all, s)
 	return s
 }
 
+func (f *Front) track(c net.Conn, state fasthttp.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, there := f.open[c]; there {
+		f.open[c] = state == fasthttp.StateActive
+	}
+}
+
+// client is a client's connection. One that never sent a byte ends without an
+// answer, as no request waits on it.
+type client struct {
+	net.Conn
+	spoke bool
+}
+
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.spoke = true
+	} else if err != nil && !c.spoke {
+		err = io.EOF
+	}
+	return n, err
+}
+
+func (f *Front) serve(s *fasthttp.Server, c net.Conn) {
+	f.mu.Lock()
+	f.open[c] = false
+	f.mu.Unlock()
+	_ = s.ServeConn(c) // a broken client connection is no event
+	f.mu.Lock()
+	delete(f.open, c)
+	f.mu.Unlock()
+}
+
+// endIdle ends the connections on which no request is. A deadline in the past
+// ends only a read that has nothing: what was read goes on.
+func (f *Front) endIdle() (left int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, busy := range f.open {
+		if !busy {
+			_ = c.SetReadDeadline(time.Unix(1, 0)) // a closed connection needs none
+		}
+	}
+	return len(f.open)
+}
+
 // unreadable answers a request that could not be read.
 func (f *Front) unreadable(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
@@ -97,8 +147,7 @@
 			time.Sleep(f.p.timing.Dial / 10)
 			continue
 		}
-		s := f.server()
-		go func() { _ = s.ServeConn(c) }() // a broken client connection is no event
+		go f.serve(f.server(), &client{Conn: c})
 	}
 }
 
@@ -111,22 +160,8 @@
 	time.Sleep(grace * 2 / 5)
 	f.ln.Close()
 	<-f.done
-	closed := make(chan struct{})
-	go func() {
-		f.mu.Lock()
-		all := f.all
-		f.mu.Unlock()
-		for _, s := range all {
-			_ = s.Shutdown() // what is still open ends with the process
-		}
-		close(closed)
-	}()
-	for time.Now().Before(end) {
-		select {
-		case <-closed:
-			return
-		case <-time.After(20 * time.Millisecond):
-		}
+	for f.endIdle() > 0 && time.Now().Before(end) {
+		time.Sleep(grace / 300)
 	}
 }
 
