--- a/balance/balance.go
+++ b/balance/balance.go
@@ -74,6 +74,19 @@
 // Endpoints gives the present endpoints.
 func (p *Pool) Endpoints() []*Endpoint { return p.all }
 
+// Slots is how many requests the endpoints that may be chosen work on at once,
+// and how many this node has there. Requests stuck at an endpoint that was
+// ejected say nothing about how full the others are.
+func (p *Pool) Slots(now time.Duration) (slots, inflight int) {
+	for _, e := range p.all {
+		if !e.Draining && !e.Ejected(now) {
+			slots += e.Capacity
+			inflight += e.inflight
+		}
+	}
+	return slots, inflight
+}
+
 // Set adds or changes an endpoint; cold is how much longer it is slow.
 func (p *Pool) Set(now time.Duration, s Spec, cold time.Duration) *Endpoint {
 	if s.Capacity < 1 {
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"lichentray/balance"
 	"lichentray/clamp"
 	"lichentray/internal/notch"
 	"lichentray/rack"
@@ -83,6 +84,7 @@
 	Revision uint64
 	Control  []string // internal addresses of control-plane nodes
 	Proxies  int
+	Loads    map[string]balance.Load // by service, over all proxies
 }
 
 // Frame is one message. Only what is set is sent.
@@ -96,14 +98,16 @@
 	Bookmark *Bookmark
 	Gone     bool
 	Proxies  *ProxyCount
-	Ack      uint64 // revision that a proxy has applied
+	Ack      uint64                  // revision that a proxy has applied
+	Loads    map[string]balance.Load // what a proxy asks of each service
 }
 
 // ProxyCount tells the leader how many proxies watch at a node, and the others
 // the sum.
 type ProxyCount struct {
-	Here int
-	Sum  int
+	Here  int
+	Sum   int
+	Loads map[string]balance.Load
 }
 
 // Conn is one connection. Send may be called from any goroutine; Receive from
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lichentray/balance"
 	"lichentray/clamp"
 	"lichentray/internal/dowel"
 	"lichentray/internal/notch"
@@ -98,13 +99,18 @@
 	l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Beats: out})
 }
 
-// countProxies lets every node know how many proxies there are.
+// countProxies lets every node know how many proxies there are, and what they
+// ask of each service together.
 func (l *Lathe) countProxies(now time.Duration) {
+	loads := map[string]balance.Load{}
 	l.mu.RLock()
 	here := len(l.sessions)
+	for s := range l.sessions {
+		addLoads(loads, s.loads)
+	}
 	l.mu.RUnlock()
 	if l.node.Role() != clamp.Leader {
-		l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Proxies: &dowel.ProxyCount{Here: here}})
+		l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Proxies: &dowel.ProxyCount{Here: here, Loads: loads}})
 		return
 	}
 	sum := here
@@ -114,12 +120,19 @@
 			continue
 		}
 		sum += c.n
+		addLoads(loads, c.loads)
 	}
 	l.mu.Lock()
-	l.sum = sum
+	l.sum, l.loads = sum, loads
 	l.mu.Unlock()
 	for _, m := range l.node.Members().All() {
-		l.links.tell(m.Addr, &dowel.Frame{Proxies: &dowel.ProxyCount{Sum: sum}})
+		l.links.tell(m.Addr, &dowel.Frame{Proxies: &dowel.ProxyCount{Sum: sum, Loads: loads}})
+	}
+}
+
+func addLoads(to, from map[string]balance.Load) {
+	for name, x := range from {
+		to[name] = to[name].Add(x)
 	}
 }
 
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"lichentray/balance"
 	"lichentray/clamp"
 	"lichentray/internal/caliper"
 	"lichentray/internal/chest"
@@ -112,6 +113,7 @@
 	sessions map[*session]struct{}
 	beats    map[string]time.Duration
 	sum      int
+	loads    map[string]balance.Load // replaced whole
 
 	links   linkSet
 	askSeq  atomic.Uint64
@@ -121,8 +123,9 @@
 }
 
 type proxyCount struct {
-	n  int
-	at time.Duration
+	n     int
+	loads map[string]balance.Load
+	at    time.Duration
 }
 
 type mark struct {
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -300,10 +300,10 @@
 		if p := f.Proxies; p != nil {
 			if p.Sum > 0 {
 				l.mu.Lock()
-				l.sum = p.Sum
+				l.sum, l.loads = p.Sum, p.Loads
 				l.mu.Unlock()
 			} else {
-				l.post(func() { l.counts[h.ID] = proxyCount{p.Here, l.now()} })
+				l.post(func() { l.counts[h.ID] = proxyCount{p.Here, p.Loads, l.now()} })
 			}
 		}
 		if f.Ask != nil {
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"lichentray/balance"
 	"lichentray/internal/dowel"
 	"lichentray/internal/notch"
 	"lichentray/rack"
@@ -15,6 +16,7 @@
 type session struct {
 	node  string
 	acked atomic.Uint64
+	loads map[string]balance.Load // under the node's lock
 }
 
 // eventsAFrame bounds one frame of a stream.
@@ -43,6 +45,11 @@
 		if f.Ack > 0 {
 			s.acked.Store(f.Ack)
 		}
+		if f.Loads != nil {
+			l.mu.Lock()
+			s.loads = f.Loads
+			l.mu.Unlock()
+		}
 		if f.Ask == nil || started {
 			continue
 		}
@@ -83,7 +90,7 @@
 func (l *Lathe) bookmark() *dowel.Bookmark {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	b := &dowel.Bookmark{Revision: l.store.Revision(), Proxies: l.sum}
+	b := &dowel.Bookmark{Revision: l.store.Revision(), Proxies: l.sum, Loads: l.loads}
 	for _, m := range l.view.members.All() {
 		b.Control = append(b.Control, m.Addr)
 	}
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -121,7 +121,6 @@
 		break
 	}
 	p.log.Info("following", "from", addr, "revision", p.mirror.Revision())
-	acked := uint64(0)
 	for ctx.Err() == nil {
 		f, err := conn.Receive(p.timing.Silence)
 		if err != nil {
@@ -136,22 +135,20 @@
 				p.control = b.Control
 			}
 			p.setProxies(b.Proxies)
+			p.told(b.Loads)
 		}
 		rev := p.mirror.Revision()
 		p.n.revision.Set(int64(rev))
 		if f.Gone {
 			return errors.New("plane: cut off as too slow")
 		}
-		if time.Since(*sweep) > time.Second {
+		if span := time.Since(*sweep); span > 2*p.timing.Silence/3 {
 			*sweep = time.Now()
 			if r := p.routing.Load(); r != nil {
 				p.sweep(r.services)
 			}
-			if rev != acked {
-				acked = rev
-				if err := conn.Send(&dowel.Frame{Ack: rev}); err != nil {
-					return err
-				}
+			if err := conn.Send(&dowel.Frame{Ack: rev, Loads: p.report(span)}); err != nil {
+				return err
 			}
 		}
 	}
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -56,9 +56,7 @@
 // Serve handles one request of a client.
 func (p *Plane) Serve(ctx *fasthttp.RequestCtx) {
 	p.n.requests.Inc()
-	p.inflight.Add(1)
 	defer func() {
-		p.inflight.Add(-1)
 		if p.stopping.Load() {
 			ctx.SetConnectionClose()
 		}
@@ -421,6 +419,7 @@
 	svc := q.svc
 	svc.mu.Lock()
 	svc.budget.Request()
+	svc.arrived++
 	svc.mu.Unlock()
 	skip := func(e *balance.Endpoint) bool {
 		for _, t := range q.tried {
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand"
-	"net"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -58,7 +57,6 @@
 	routing  atomic.Pointer[routing]
 	viewed   chan struct{} // closed once there is a first view
 	stopping atomic.Bool
-	inflight atomic.Int64
 	proxies  atomic.Int64
 
 	// Owned by the follower goroutine.
@@ -96,12 +94,12 @@
 	budget  *balance.Budget
 	shelves map[*balance.Endpoint]*shelf
 	queue   []*queued
-	seq     uint64
+	arrived int // requests since the last report
+	share   *balance.Admission
 }
 
 type queued struct {
 	priority int
-	seq      uint64
 	wake     chan struct{}
 }
 
@@ -137,6 +135,7 @@
 		s = &service{
 			name: name, shelves: map[*balance.Endpoint]*shelf{},
 			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.6}),
+			share:  balance.NewAdmission(8 * p.timing.Silence / 3),
 			budget: balance.NewBudget(p.set.Bounds.RetryBudgetRatio*0.95, 1),
 		}
 		p.services[name] = s
@@ -313,25 +312,47 @@
 	}
 }
 
-// acquire picks an endpoint, waiting for a free place up to wait.
+// pick chooses an endpoint within this node's share.
+func (s *service) pick(p *Plane, skip func(*balance.Endpoint) bool) (*balance.Endpoint, int) {
+	now := p.now()
+	slots, inflight := s.pool.Slots(now)
+	limit, limited := s.share.Limit(now, slots)
+	if limited && inflight >= limit {
+		return nil, limit
+	}
+	return s.pool.Pick(now, rand.Float64, skip), limit
+}
+
+// acquire picks an endpoint, waiting for a free place up to wait. Those with a
+// smaller priority number go first; a wait that cannot end in time is not begun.
 func (s *service) acquire(p *Plane, priority int, wait time.Duration, skip func(*balance.Endpoint) bool) (*balance.Endpoint, *shelf) {
 	s.mu.Lock()
-	e := s.pool.Pick(p.now(), rand.Float64, skip)
-	if e != nil || wait <= 0 {
-		sh := s.shelves[e]
-		s.mu.Unlock()
-		return e, sh
-	}
-	q := &queued{priority: priority, seq: s.seq, wake: make(chan struct{}, 1)}
-	s.seq++
-	s.queue = append(s.queue, q)
-	sort.SliceStable(s.queue, func(i, j int) bool {
-		return s.queue[i].priority < s.queue[j].priority
-	})
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	ahead := 0
+	for _, x := range s.queue {
+		if x.priority <= priority {
+			ahead++
+		}
+	}
+	limit := 0
+	if ahead == 0 {
+		var e *balance.Endpoint
+		if e, limit = s.pick(p, skip); e != nil {
+			return e, s.shelves[e]
+		}
+	}
+	if wait <= 0 || ahead > max(limit, 8)/2 {
+		return nil, nil
+	}
+	q := &queued{priority: priority, wake: make(chan struct{}, 1)}
+	at := sort.Search(len(s.queue), func(i int) bool { return s.queue[i].priority > priority })
+	s.queue = append(s.queue, nil)
+	copy(s.queue[at+1:], s.queue[at:])
+	s.queue[at] = q
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
+		s.mu.Unlock()
 		over := false
 		select {
 		case <-q.wake:
@@ -339,19 +360,27 @@
 			over = true
 		}
 		s.mu.Lock()
-		e = s.pool.Pick(p.now(), rand.Float64, skip)
-		if e != nil || over {
-			for i, x := range s.queue {
-				if x == q {
-					s.queue = append(s.queue[:i], s.queue[i+1:]...)
-					break
-				}
+		e, _ := s.pick(p, skip)
+		if e == nil && !over {
+			continue
+		}
+		for i, x := range s.queue {
+			if x == q {
+				s.queue = append(s.queue[:i], s.queue[i+1:]...)
+				break
 			}
-			sh := s.shelves[e]
-			s.mu.Unlock()
-			return e, sh
 		}
-		s.mu.Unlock()
+		s.wakeFirst()
+		return e, s.shelves[e]
+	}
+}
+
+func (s *service) wakeFirst() {
+	if len(s.queue) > 0 {
+		select {
+		case s.queue[0].wake <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -359,26 +388,35 @@
 func (s *service) release(p *Plane, e *balance.Endpoint, ok bool, took float64) {
 	s.mu.Lock()
 	s.pool.Done(p.now(), e, ok, took)
-	var first *queued
-	if len(s.queue) > 0 {
-		first = s.queue[0]
-	}
+	s.wakeFirst()
 	s.mu.Unlock()
 	if !ok {
 		p.n.ejected.Inc()
 	}
-	if first != nil {
-		select {
-		case first.wake <- struct{}{}:
-		default:
-		}
+}
+
+// report gives what this node asks of each service, for the sum over all.
+func (p *Plane) report(span time.Duration) map[string]balance.Load {
+	out := map[string]balance.Load{}
+	for name, s := range p.services {
+		s.mu.Lock()
+		_, inflight := s.pool.Slots(p.now())
+		s.share.Observe(balance.Load{Rate: float64(s.arrived) / span.Seconds(), Inflight: float64(inflight)})
+		s.arrived = 0
+		out[name] = s.share.Own()
+		s.mu.Unlock()
 	}
+	return out
 }
 
-func hostOf(addr string) string {
-	h, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return addr
+// told takes the sums over all proxy nodes.
+func (p *Plane) told(loads map[string]balance.Load) {
+	now := p.now()
+	for name, sum := range loads {
+		if s := p.services[name]; s != nil {
+			s.mu.Lock()
+			s.share.Told(now, sum)
+			s.mu.Unlock()
+		}
 	}
-	return h
 }
