--- /dev/null
+++ b/cmd/gauge/main_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"config_version":3,"listeners":[],"clusters":[{"name":"s"}]}`
+
+// TestExitCodes: what each command prints and how it ends, against a stand-in
+// node that answers as told.
+func TestExitCodes(t *testing.T) {
+	status := 200
+	calls := 0
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		w.WriteHeader(status)
+		switch {
+		case r.URL.Path == "/api/status":
+			fmt.Fprint(w, `{"node":"n1","id":"0a","role":"leader","term":4,"revision":9,"members":[{"id":"0a","voter":true}],"proxies":[{"node":"p1","revision":9}]}`)
+		case r.URL.Query().Get("call") == "configuration.read":
+			fmt.Fprint(w, good)
+		}
+	}))
+	defer node.Close()
+	addr := strings.TrimPrefix(node.URL, "http://")
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		p := filepath.Join(dir, name)
+		if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	cfg, bad := file("good.json", good), file("bad.json", `{"config_version":3,"listeners":[],"clusters":[{}]}`)
+	for _, c := range []struct {
+		args   string
+		status int
+		code   int
+		says   string
+	}{
+		{"--help", 200, exitOK, "Exit codes"},
+		{"version", 200, exitOK, "gauge "},
+		{"config check " + cfg, 200, exitOK, "valid: version 3"},
+		{"config check " + bad, 200, exitInvalid, "clusters.0"},
+		{"config check " + cfg + " --output json", 200, exitOK, `"valid": true`},
+		{"config check", 200, exitUsage, "one file"},
+		{"config read --nodes " + addr, 200, exitOK, good},
+		{"config replace " + cfg + " --nodes " + addr, 200, exitOK, "acknowledged by"},
+		{"config replace " + cfg + " --nodes " + addr, 400, exitInvalid, "refused it with 400"},
+		{"config replace " + cfg + " --timeout 50ms --nodes " + addr, 503, exitFailed, "no node took"},
+		{"config replace " + cfg + " --timeout 50ms --nodes " + addr, 504, exitUnknown, "may or may not"},
+		{"config replace " + bad + " --nodes " + addr, 200, exitInvalid, "clusters.0"},
+		{"status --nodes " + addr, 200, exitOK, "p1"},
+		{"status --nodes " + addr, 500, exitFailed, "no node answered"},
+		{"status --output xml --nodes " + addr, 200, exitUsage, "text or json"},
+		{"settings check " + bad, 200, exitInvalid, "TOML"},
+		{"nonsense", 200, exitUsage, "no command"},
+	} {
+		status, calls = c.status, 0
+		var out bytes.Buffer
+		if code := run(strings.Fields(c.args), nil, &out, &out); code != c.code || !strings.Contains(out.String(), c.says) {
+			t.Errorf("gauge %s (node answers %d): exit %d, want %d; printed %q", c.args, c.status, code, c.code, out.String())
+		}
+		if strings.Contains(c.args, bad) && calls > 0 {
+			t.Errorf("gauge %s asked a node although its input was wrong", c.args)
+		}
+	}
+	var out bytes.Buffer
+	if run([]string{"status", "--nodes", addr, "--output", "json"}, nil, &out, &out); !json.Valid(out.Bytes()) {
+		t.Errorf("not JSON: %s", out.String())
+	}
+}
--- a/internal/caliper/caliper.go
+++ b/internal/caliper/caliper.go
@@ -10,11 +10,11 @@
 	"net"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
-	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"lichentray/jig"
 )
 
 // EnvPath names the variable that holds the path of the settings file.
@@ -142,19 +142,11 @@
 }
 
 func check(raw map[string]any) error {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
-	if err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	c := jsonschema.NewCompiler()
-	if err := c.AddResource("settings.json", doc); err != nil {
-		return fmt.Errorf("schema: %w", err)
-	}
-	sch, err := c.Compile("settings.json")
+	sch, err := jig.NewSchema(schemaText)
 	if err != nil {
-		return fmt.Errorf("schema: %w", err)
+		return err
 	}
-	return Explain(sch.Validate(plain(raw)))
+	return sch.Check(plain(raw))
 }
 
 // plain turns what TOML yields into what a JSON schema knows.
@@ -178,26 +170,6 @@
 	return v
 }
 
-// Explain turns a schema error into one short line that names the field.
-func Explain(err error) error {
-	var ve *jsonschema.ValidationError
-	if err == nil || !errors.As(err, &ve) {
-		return err
-	}
-	for len(ve.Causes) > 0 {
-		ve = ve.Causes[0]
-	}
-	field := strings.Join(ve.InstanceLocation, ".")
-	if field == "" {
-		field = "(top)"
-	}
-	msg := ve.Error()
-	if i := strings.LastIndex(msg, ": "); i >= 0 {
-		msg = msg[i+2:]
-	}
-	return fmt.Errorf("%s: %s", field, strings.TrimSpace(msg))
-}
-
 // InternalAddr is the address of the control-plane node's internal port, given
 // any address of that machine.
 func (s *Settings) InternalAddr(control string) string {
--- a/internal/chest/chest.go
+++ b/internal/chest/chest.go
@@ -247,8 +247,9 @@
 	return nil
 }
 
-// Save makes one batch durable, all of it or nothing.
-func (c *Chest) Save(hard *clamp.HardState, snapshot *clamp.Snapshot, entries []clamp.Entry) error {
+// Save makes one batch durable, all of it or nothing. A snapshot drops the
+// entries that it stands for; with replace it stands for the whole log.
+func (c *Chest) Save(hard *clamp.HardState, snapshot *clamp.Snapshot, replace bool, entries []clamp.Entry) error {
 	return c.tx(func() error {
 		if hard != nil {
 			if err := exec(c.set, "hard", encode(*hard)); err != nil {
@@ -263,38 +264,15 @@
 				return err
 			}
 		}
-		for i, e := range entries {
-			if i == 0 {
-				if err := exec(c.cut, int64(e.Index)); err != nil {
-					return err
-				}
-			}
-			data := e.Data
-			if data == nil {
-				data = []byte{}
-			}
-			if err := exec(c.insert, int64(e.Index), int64(e.Term), int64(e.Type), data); err != nil {
-				return err
-			}
+		from := int64(0) // everything, when a leader's snapshot comes
+		if !replace && len(entries) > 0 {
+			from = int64(entries[0].Index)
 		}
-		return nil
-	})
-}
-
-// Snapshot installed from a leader replaces the whole log.
-func (c *Chest) Replace(hard *clamp.HardState, snapshot *clamp.Snapshot, entries []clamp.Entry) error {
-	return c.tx(func() error {
-		if hard != nil {
-			if err := exec(c.set, "hard", encode(*hard)); err != nil {
+		if replace || len(entries) > 0 {
+			if err := exec(c.cut, from); err != nil {
 				return err
 			}
 		}
-		if err := exec(c.set, "snapshot", encode(*snapshot)); err != nil {
-			return err
-		}
-		if err := exec(c.cut, int64(0)); err != nil {
-			return err
-		}
 		for _, e := range entries {
 			if err := exec(c.insert, int64(e.Index), int64(e.Term), int64(e.Type), append([]byte{}, e.Data...)); err != nil {
 				return err
--- a/internal/chest/chest_test.go
+++ b/internal/chest/chest_test.go
@@ -27,11 +27,11 @@
 			k := uint64(len(want.Entries)) / 2
 			want.Snapshot = clamp.Snapshot{Index: want.Snapshot.Index + k, Term: 3, Data: []byte{1, 2}, Members: clamp.Membership{Voters: []clamp.Member{{ID: 7}}}}
 			want.Entries = want.Entries[k:]
-			err = c.Save(nil, &want.Snapshot, nil)
+			err = c.Save(nil, &want.Snapshot, false, nil)
 		case step%53 == 52: // a leader's snapshot
 			want.Snapshot = clamp.Snapshot{Index: last + 100, Term: 4, Data: []byte{9}}
 			want.Entries = nil
-			err = c.Replace(nil, &want.Snapshot, nil)
+			err = c.Save(nil, &want.Snapshot, true, nil)
 		default:
 			at := last + 1
 			if len(want.Entries) > 3 && r.Intn(4) == 0 {
@@ -45,7 +45,7 @@
 			}
 			want.Entries = append(want.Entries, batch...)
 			want.Hard = clamp.HardState{Term: uint64(step), Vote: 5}
-			err = c.Save(&want.Hard, nil, batch)
+			err = c.Save(&want.Hard, nil, false, batch)
 		}
 		if err != nil {
 			t.Fatal(err)
@@ -90,7 +90,7 @@
 			t.Fatalf("%+v, %v", first, err)
 		}
 		for i := uint64(1); i < 400; i++ {
-			if err := c.Save(&clamp.HardState{Term: i}, nil, []clamp.Entry{{Index: i, Term: i, Data: make([]byte, 200)}}); err != nil {
+			if err := c.Save(&clamp.HardState{Term: i}, nil, false, []clamp.Entry{{Index: i, Term: i, Data: make([]byte, 200)}}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -110,7 +110,7 @@
 		if second.Discarded == nil || second.ID == 42 || saved.Hard.Term != 0 {
 			t.Errorf("%s: opened as %+v with %+v", name, second, saved.Hard)
 		}
-		if err := c.Save(&clamp.HardState{Term: 1}, nil, nil); err != nil {
+		if err := c.Save(&clamp.HardState{Term: 1}, nil, false, nil); err != nil {
 			t.Errorf("%s: the new store takes nothing: %v", name, err)
 		}
 		c.Close()
@@ -126,22 +126,22 @@
 		t.Fatal(err)
 	}
 	e := func(i uint64) []clamp.Entry { return []clamp.Entry{{Index: i, Term: 1, Data: []byte("x")}} }
-	if err := c.Save(nil, nil, e(1)); err != nil {
+	if err := c.Save(nil, nil, false, e(1)); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := c.conn.Exec("CREATE TRIGGER full BEFORE INSERT ON log BEGIN SELECT RAISE(ABORT, 'disk is full'); END", nil); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Save(&clamp.HardState{Term: 9}, nil, e(2)); err == nil {
+	if err := c.Save(&clamp.HardState{Term: 9}, nil, false, e(2)); err == nil {
 		t.Fatal("a refused write was called saved")
 	}
-	if err := c.Save(nil, nil, nil); err != nil {
+	if err := c.Save(nil, nil, false, nil); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := c.conn.Exec("DROP TRIGGER full", nil); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Save(nil, nil, e(2)); err != nil {
+	if err := c.Save(nil, nil, false, e(2)); err != nil {
 		t.Fatal(err)
 	}
 	c.Close()
--- /dev/null
+++ b/internal/hatch/hatch_test.go
@@ -0,0 +1,91 @@
+package hatch
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lichentray/internal/dial"
+	"lichentray/internal/notch"
+	"lichentray/latch"
+	"lichentray/rack"
+)
+
+// node is a stand-in that answers every call with one outcome.
+type node struct {
+	err    error
+	result rack.Result
+	got    any
+}
+
+func (n *node) Beat(e rack.Endpoint) error     { n.got = e; return n.err }
+func (n *node) SignOff(id string) error        { n.got = id; return n.err }
+func (n *node) Replace(b []byte) error         { n.got = string(b); return n.err }
+func (n *node) Configuration() ([]byte, error) { return []byte(`{"config_version":1}`), n.err }
+func (n *node) Cell(name string) (latch.Cell, error) {
+	return latch.Cell{Value: "v", Revision: 4}, n.err
+}
+func (n *node) Status() any { return "fine" }
+func (n *node) Do(c rack.Command) (rack.Result, error) {
+	n.got = *c.Latch
+	return n.result, n.err
+}
+func (n *node) Watch(g string, after uint64, _ time.Duration) ([]latch.Event, uint64, error) {
+	return []latch.Event{{Name: g + "a", Value: "x", Revision: after + 1}}, after + 1, n.err
+}
+
+func TestCalls(t *testing.T) {
+	held := rack.Result{Latch: latch.Result{Code: latch.Held}}
+	stale := rack.Result{Latch: latch.Result{Code: latch.Mismatch, Revision: 922}}
+	fence := rack.Result{Latch: latch.Result{Fence: 41, Value: 7, Revision: 931}}
+	const beat = `{"address":"10.0.0.9:80","info":{"backend_service":"s","zone":"z","capacity":3},"status":{"state":"ready","sequence":4,"cold_remaining_s":0.5}}`
+	for _, c := range []struct {
+		what, method, uri, body string
+		result                  rack.Result
+		err                     error
+		status                  int
+		says                    string
+	}{
+		{"beat", "POST", "/api/rpc?call=instances.heartbeat&of=i-1", beat, fence, nil, 200, "{}"},
+		{"beat without an id", "POST", "/api/rpc?call=instances.heartbeat", beat, fence, nil, 400, "of"},
+		{"beat of an odd state", "POST", "/api/rpc?call=instances.heartbeat&of=i-1", strings.Replace(beat, "ready", "odd", 1), fence, nil, 400, "state"},
+		{"beat cut short", "POST", "/api/rpc?call=instances.heartbeat&of=i-1", beat[:40], fence, nil, 400, "body"},
+		{"sign-off", "POST", "/api/rpc?call=instances.deregister&of=i-1", "", fence, nil, 200, "{}"},
+		{"read", "POST", "/api/rpc?call=configuration.read", "", fence, nil, 200, `{"config_version":1}`},
+		{"replace that is invalid", "POST", "/api/rpc?call=configuration.replace", "x", fence, notch.New(notch.Invalid, "f"), 400, "invalid"},
+		{"replace without a clear outcome", "POST", "/api/rpc?call=configuration.replace", "x", fence, notch.New(notch.Unknown, ""), 504, "unknown"},
+		{"replace refused", "POST", "/api/rpc?call=configuration.replace", "x", fence, notch.New(notch.Unavailable, ""), 503, "unavailable"},
+		{"begin", "POST", "/api/rpc?call=locks.begin&of=l", `{"holder":"a","hold_s":3}`, fence, nil, 200, `{"fence":41}`},
+		{"begin held", "POST", "/api/rpc?call=locks.begin&of=l", `{"holder":"a","hold_s":3}`, held, nil, 409, "held"},
+		{"begin without a time", "POST", "/api/rpc?call=locks.begin&of=l", `{"holder":"a"}`, fence, nil, 400, "hold_s"},
+		{"finish", "POST", "/api/rpc?call=locks.finish&of=l", `{"holder":"a","fence":41}`, fence, nil, 200, "{}"},
+		{"number", "POST", "/api/numbers/n2", "{}", fence, nil, 200, `{"value":7}`},
+		{"put", "POST", "/api/rpc?call=cells.replace&of=g.a", `{"value":"v","enabled":907}`, fence, nil, 200, `{"revision":931}`},
+		{"put stale", "POST", "/api/rpc?call=cells.replace&of=g.a", `{"value":"v","enabled":907}`, stale, nil, 412, `{"revision":922}`},
+		{"put without a value", "POST", "/api/rpc?call=cells.replace&of=g.a", `{"enabled":907}`, fence, nil, 400, "value"},
+		{"cell", "POST", "/api/rpc?call=cells.read&of=g.a", "", fence, nil, 200, `"revision":4`},
+		{"watch", "GET", "/api/watch/g.?after=930&wait_ms=20", "", fence, nil, 200, `"revision":931`},
+		{"watch too old", "GET", "/api/watch/g.?after=1", "", fence, notch.New(notch.Expired, ""), 410, "expired"},
+		{"watch of no number", "GET", "/api/watch/g.?after=x", "", fence, nil, 400, "after"},
+		{"no such call", "POST", "/api/rpc?call=locks.steal&of=l", "", fence, nil, 404, "no_route"},
+		{"wrong method", "GET", "/api/rpc?call=locks.begin&of=l", "", fence, nil, 400, "POST"},
+		{"metrics", "GET", "/metrics", "", fence, nil, 200, "lichentray_"},
+	} {
+		n := &node{err: c.err, result: c.result}
+		board := dial.NewBoard()
+		board.Counter("x").Inc()
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod(c.method)
+		ctx.Request.SetRequestURI(c.uri)
+		ctx.Request.SetBodyString(c.body)
+		NewAPI(n, board, time.Second).Serve(&ctx)
+		if got := string(ctx.Response.Body()); ctx.Response.StatusCode() != c.status || !strings.Contains(got, c.says) {
+			t.Errorf("%s: answered %d %s, want %d with %q", c.what, ctx.Response.StatusCode(), got, c.status, c.says)
+		}
+		if c.status == 503 && len(ctx.Response.Header.Peek("Retry-After")) == 0 {
+			t.Errorf("%s: does not say when to come back", c.what)
+		}
+	}
+}
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -1,6 +1,7 @@
 package lathe
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net"
 	"time"
@@ -323,79 +324,81 @@
 	return id == e.ID || (id == "" && resp.StatusCode() == 200)
 }
 
-// Beat takes a heartbeat of an endpoint.
-func (l *Lathe) Beat(e rack.Endpoint) error {
-	l.nBeats.Inc()
-	for range 4 {
+// transact derives a conditional transaction from what this node holds and
+// puts it through; on a conflict it reads again and derives anew. derive gives
+// nil when there is nothing to write.
+func (l *Lathe) transact(derive func() (*rack.Txn, error)) (wrote bool, err error) {
+	for range 6 {
 		l.mu.Lock()
-		o, known := l.store.Get(e.Key())
-		_, departed := l.store.Get(rack.DepartedPrefix + e.ID)
-		if !departed {
-			l.beats[e.ID] = l.now()
-		}
+		txn, err := derive()
 		l.mu.Unlock()
-		if departed {
-			return nil // a late beat of a life that has signed off
-		}
-		txn := &rack.Txn{}
-		if !known {
-			txn.If = []rack.Condition{{Key: e.Key()}, {Key: rack.DepartedPrefix + e.ID}}
-			txn.Then = []rack.Write{{Key: e.Key(), Value: e.Encode()}}
-		} else {
-			old, err := rack.DecodeEndpoint(o)
-			if err != nil {
-				return notch.New(notch.Internal, "%v", err)
-			}
-			if old.Draining || !e.Draining {
-				return nil // an ordinary beat, or a late one: no write
-			}
-			old.Draining, old.Sequence = true, e.Sequence
-			txn.If = []rack.Condition{{Key: e.Key(), ModRevision: o.ModRevision}}
-			txn.Then = []rack.Write{{Key: e.Key(), Value: old.Encode()}}
+		if txn == nil || err != nil {
+			return false, err
 		}
 		r, err := l.Do(rack.Command{Txn: txn})
 		if err != nil {
-			return err
+			return false, err
 		}
 		if !r.Conflict {
-			return nil
+			return true, nil
 		}
 		if err := l.ReadPoint(); err != nil {
-			return err
+			return false, err
 		}
 	}
-	return notch.New(notch.Unavailable, "endpoint %s changes too often", e.ID)
+	return false, notch.New(notch.Unavailable, "the object changes too often")
+}
+
+// Beat takes a heartbeat of an endpoint.
+func (l *Lathe) Beat(e rack.Endpoint) error {
+	l.nBeats.Inc()
+	gone := rack.DepartedPrefix + e.ID
+	_, err := l.transact(func() (*rack.Txn, error) {
+		if _, departed := l.store.Get(gone); departed {
+			return nil, nil // a late beat of a life that has signed off
+		}
+		l.beats[e.ID] = l.now()
+		o, known := l.store.Get(e.Key())
+		if !known {
+			return &rack.Txn{
+				If:   []rack.Condition{{Key: e.Key()}, {Key: gone}},
+				Then: []rack.Write{{Key: e.Key(), Value: e.Encode()}},
+			}, nil
+		}
+		old, err := rack.DecodeEndpoint(o)
+		if err != nil {
+			return nil, notch.New(notch.Internal, "%v", err)
+		}
+		if old.Draining || !e.Draining {
+			return nil, nil // an ordinary beat, or a late one: no write
+		}
+		old.Draining, old.Sequence = true, e.Sequence
+		return &rack.Txn{
+			If:   []rack.Condition{{Key: e.Key(), ModRevision: o.ModRevision}},
+			Then: []rack.Write{{Key: e.Key(), Value: old.Encode()}},
+		}, nil
+	})
+	return err
 }
 
 // SignOff removes an endpoint for good.
 func (l *Lathe) SignOff(id string) error {
-	for range 4 {
-		l.mu.RLock()
-		o, known := l.store.Get(rack.EndpointPrefix + id)
-		_, departed := l.store.Get(rack.DepartedPrefix + id)
-		l.mu.RUnlock()
-		if departed {
-			return nil
+	key, gone := rack.EndpointPrefix+id, rack.DepartedPrefix+id
+	_, err := l.transact(func() (*rack.Txn, error) {
+		if _, departed := l.store.Get(gone); departed {
+			return nil, nil
 		}
+		o, known := l.store.Get(key)
 		txn := &rack.Txn{
-			If:   []rack.Condition{{Key: rack.EndpointPrefix + id, ModRevision: o.ModRevision}, {Key: rack.DepartedPrefix + id}},
-			Then: []rack.Write{{Key: rack.DepartedPrefix + id, Value: []byte{}}},
+			If:   []rack.Condition{{Key: key, ModRevision: o.ModRevision}, {Key: gone}},
+			Then: []rack.Write{{Key: gone, Value: []byte{}}},
 		}
 		if known {
-			txn.Then = append(txn.Then, rack.Write{Key: rack.EndpointPrefix + id, Delete: true})
-		}
-		r, err := l.Do(rack.Command{Txn: txn})
-		if err != nil {
-			return err
+			txn.Then = append(txn.Then, rack.Write{Key: key, Delete: true})
 		}
-		if !r.Conflict {
-			return nil
-		}
-		if err := l.ReadPoint(); err != nil {
-			return err
-		}
-	}
-	return notch.New(notch.Unavailable, "endpoint %s changes too often", id)
+		return txn, nil
+	})
+	return err
 }
 
 // Replace takes a whole configuration.
@@ -404,35 +407,21 @@
 	if err != nil {
 		return notch.New(notch.Invalid, "%v", err)
 	}
-	value := make([]byte, 8, 8+len(text))
-	for i := range 8 {
-		value[i] = byte(c.Version >> (56 - 8*i))
-	}
-	value = append(value, text...)
-	for range 8 {
-		l.mu.RLock()
+	value := append(binary.BigEndian.AppendUint64(nil, c.Version), text...)
+	wrote, err := l.transact(func() (*rack.Txn, error) {
 		o, _ := l.store.Get(rack.ConfigKey)
-		held := l.configVersion()
-		l.mu.RUnlock()
-		if o.ModRevision != 0 && held >= c.Version {
-			return nil // what is held is committed, and it is not older
+		if o.ModRevision != 0 && l.configVersion() >= c.Version {
+			return nil, nil // what is held is committed, and it is not older
 		}
-		r, err := l.Do(rack.Command{Txn: &rack.Txn{
+		return &rack.Txn{
 			If:   []rack.Condition{{Key: rack.ConfigKey, ModRevision: o.ModRevision}},
 			Then: []rack.Write{{Key: rack.ConfigKey, Value: value}},
-		}})
-		if err != nil {
-			return err
-		}
-		if !r.Conflict {
-			l.log.Info("configuration acknowledged", "version", c.Version, "revision", r.Revision)
-			return nil
-		}
-		if err := l.ReadPoint(); err != nil {
-			return err
-		}
+		}, nil
+	})
+	if wrote {
+		l.log.Info("configuration acknowledged", "version", c.Version)
 	}
-	return notch.New(notch.Unavailable, "configuration changes too often")
+	return err
 }
 
 // Configuration reads the newest configuration, whole.
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -217,7 +217,7 @@
 	blank := saved.Hard.Term == 0 && len(saved.Entries) == 0 && len(saved.Snapshot.Members.All()) == 0
 	if blank && first != 0 && id.ID == first {
 		saved.Snapshot.Members = initial
-		if err := ch.Save(nil, &saved.Snapshot, nil); err != nil {
+		if err := ch.Save(nil, &saved.Snapshot, false, nil); err != nil {
 			stop()
 			return nil, fmt.Errorf("bootstrap: %w", err)
 		}
@@ -477,7 +477,11 @@
 
 // maybeCompact bounds the log, in memory and on disk.
 func (l *Lathe) maybeCompact() {
-	if l.node.LogSize() < 6000 && l.logBytes < 4<<20 {
+	most := 4 << 20
+	if mb := l.set.Limits.DiskMB; mb > 0 {
+		most = min(most, int(mb*(1<<20))/16) // the write-ahead log holds as much again
+	}
+	if l.node.LogSize() < 6000 && l.logBytes < most {
 		return
 	}
 	data, err := l.store.Snapshot()
@@ -584,12 +588,11 @@
 		failed := false
 		for {
 			t := time.Now()
-			var err error
+			snapshot := j.compact
 			if j.install != nil {
-				err = l.chest.Replace(j.hard, j.install, j.entries)
-			} else {
-				err = l.chest.Save(j.hard, j.compact, j.entries)
+				snapshot = j.install
 			}
+			err := l.chest.Save(j.hard, snapshot, j.install != nil, j.entries)
 			l.nSync.Inc()
 			l.nSyncUS.Add(time.Since(t).Microseconds())
 			if err == nil {
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -68,8 +68,8 @@
 }
 
 type counters struct {
-	requests, retries, budgetOut, ejected, refused, streamLost, lists, watches, resumed, badAnswers, dialFailed, hedges *dial.Counter
-	revision, config                                                                                                    *dial.Counter
+	requests, retries, budgetOut, ejected, refused, streamLost, lists, watches, badAnswers, dialFailed *dial.Counter
+	revision, config                                                                                   *dial.Counter
 }
 
 // routing is what one request is handled by, swapped whole.
@@ -111,8 +111,8 @@
 	p.n = counters{
 		requests: c("requests_total"), retries: c("retries_total"), budgetOut: c("retry_budget_refused_total"),
 		ejected: c("ejections_total"), refused: c("refused_total"), streamLost: c("stream_lost_total"),
-		lists: c("stream_lists_total"), watches: c("stream_watches_total"), resumed: c("stream_resumed_total"),
-		badAnswers: c("endpoint_bad_answers_total"), dialFailed: c("endpoint_dial_failures_total"), hedges: c("hedges_total"),
+		lists: c("stream_lists_total"), watches: c("stream_watches_total"),
+		badAnswers: c("endpoint_bad_answers_total"), dialFailed: c("endpoint_dial_failures_total"),
 		revision: c("registry_revision"), config: c("config_version"),
 	}
 	return p
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -437,3 +437,22 @@
 		t.Error("the idle connection got bytes")
 	}
 }
+
+// FuzzReadAnswer: whatever an endpoint sends, an answer that is taken for whole
+// has the length that it names.
+func FuzzReadAnswer(f *testing.F) {
+	f.Add([]byte(ok("body")))
+	f.Add([]byte(notRun))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\nContent-Length: 5\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := readAnswer(bufio.NewReader(bytes.NewReader(b)), false, 1<<16)
+		if err != nil {
+			return
+		}
+		if a.status < 200 || a.status > 999 || (a.rest == nil && a.length >= 0 && a.status != 204 && a.status != 304 && int64(len(a.body)) != a.length) {
+			t.Fatalf("%q was taken as %+v", b, a)
+		}
+	})
+}
--- a/jig/jig.go
+++ b/jig/jig.go
@@ -19,17 +19,48 @@
 //go:embed configuration.schema.json
 var schemaText []byte
 
-var schema = sync.OnceValues(func() (*jsonschema.Schema, error) {
-	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
+// Schema is a compiled JSON schema whose errors name the field.
+type Schema struct{ s *jsonschema.Schema }
+
+// NewSchema compiles a JSON schema.
+func NewSchema(text []byte) (*Schema, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("schema: %w", err)
 	}
 	c := jsonschema.NewCompiler()
-	if err := c.AddResource("configuration.json", doc); err != nil {
-		return nil, err
+	if err := c.AddResource("schema.json", doc); err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	s, err := c.Compile("schema.json")
+	if err != nil {
+		return nil, fmt.Errorf("schema: %w", err)
+	}
+	return &Schema{s}, nil
+}
+
+// Check validates a value; the error is one line that begins with the field.
+func (s *Schema) Check(v any) error {
+	err := s.s.Validate(v)
+	var ve *jsonschema.ValidationError
+	if !errors.As(err, &ve) {
+		return err
+	}
+	for len(ve.Causes) > 0 {
+		ve = ve.Causes[0]
+	}
+	field := strings.Join(ve.InstanceLocation, ".")
+	if field == "" {
+		field = "(top)"
+	}
+	msg := ve.Error()
+	if i := strings.LastIndex(msg, ": "); i >= 0 {
+		msg = msg[i+2:]
 	}
-	return c.Compile("configuration.json")
-})
+	return fmt.Errorf("%s: %s", field, strings.TrimSpace(msg))
+}
+
+var schema = sync.OnceValues(func() (*Schema, error) { return NewSchema(schemaText) })
 
 // Warm compiles the schema ahead of the first configuration.
 func Warm() error { _, err := schema(); return err }
@@ -101,14 +132,14 @@
 func Read(text []byte) (*Configuration, error) {
 	sch, err := schema()
 	if err != nil {
-		return nil, fmt.Errorf("schema: %w", err)
+		return nil, err
 	}
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
 	if err != nil {
 		return nil, fmt.Errorf("not readable as JSON: %w", err)
 	}
-	if err := sch.Validate(doc); err != nil {
-		return nil, explain(err)
+	if err := sch.Check(doc); err != nil {
+		return nil, err
 	}
 	c := new(Configuration)
 	if err := json.Unmarshal(text, c); err != nil {
@@ -151,25 +182,6 @@
 	return v.Version
 }
 
-func explain(err error) error {
-	var ve *jsonschema.ValidationError
-	if !errors.As(err, &ve) {
-		return err
-	}
-	for len(ve.Causes) > 0 {
-		ve = ve.Causes[0]
-	}
-	field := strings.Join(ve.InstanceLocation, ".")
-	if field == "" {
-		field = "(top)"
-	}
-	msg := ve.Error()
-	if i := strings.LastIndex(msg, ": "); i >= 0 {
-		msg = msg[i+2:]
-	}
-	return fmt.Errorf("%s: %s", field, strings.TrimSpace(msg))
-}
-
 // Target is one service that a route may send to.
 type Target struct {
 	Service int
