--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -17,7 +17,6 @@
 	"lichentray/internal/dial"
 	"lichentray/internal/hatch"
 	"lichentray/internal/plane"
-	"lichentray/jig"
 )
 
 func main() { os.Exit(daemon.Main("router", "the proxy node", run)) }
@@ -29,9 +28,6 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * 0.7 * (1 << 20)))
 	debug.SetGCPercent(75)
-	if err := jig.Warm(); err != nil {
-		return err
-	}
 	board := dial.NewBoard()
 	p := plane.New(set, log, board)
 	ctx, stop := context.WithCancel(context.Background())
--- a/cmd/vise/main.go
+++ b/cmd/vise/main.go
@@ -17,6 +17,7 @@
 	"lichentray/internal/dial"
 	"lichentray/internal/hatch"
 	"lichentray/internal/lathe"
+	"lichentray/jig"
 )
 
 func main() { os.Exit(daemon.Main("vise", "the control-plane node", run)) }
@@ -33,6 +34,9 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * 0.7 * (1 << 20)))
 	debug.SetGCPercent(75)
+	if err := jig.Warm(); err != nil {
+		return err
+	}
 	board := dial.NewBoard()
 	node, err := lathe.Start(set, log, board)
 	if err != nil {
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -248,7 +248,7 @@
 			continue
 		}
 		l.probing[e.ID] = true
-		go l.probe(o, e, l.healthPath(e.Service))
+		go l.probe(o, e)
 	}
 	for id := range l.alive {
 		if !known[id] && now-l.alive[id] > l.timing.Missed {
@@ -258,11 +258,13 @@
 }
 
 func (l *Lathe) healthPath(service string) string {
+	l.mu.RLock()
 	o, ok := l.store.Get(rack.ConfigKey)
+	l.mu.RUnlock()
 	if !ok || len(o.Value) < 8 {
 		return ""
 	}
-	c, err := jig.Read(o.Value[8:])
+	c, err := jig.ReadChecked(o.Value[8:])
 	if err != nil {
 		return ""
 	}
@@ -276,7 +278,8 @@
 
 // probe asks an endpoint whose beats stopped for its health, and removes it
 // if it is not there.
-func (l *Lathe) probe(o rack.Object, e rack.Endpoint, path string) {
+func (l *Lathe) probe(o rack.Object, e rack.Endpoint) {
+	path := l.healthPath(e.Service)
 	there := path != "" && probeOnce(e, path, l.timing.Silence)
 	l.board.Counter("probes_total").Inc()
 	defer l.post(func() {
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -254,7 +254,7 @@
 	if len(o.Value) < 8 {
 		return
 	}
-	c, err := jig.Read(o.Value[8:])
+	c, err := jig.ReadChecked(o.Value[8:])
 	if err != nil {
 		p.log.Error("configuration cannot be read, the old one stays", "error", err)
 		return
--- a/jig/jig.go
+++ b/jig/jig.go
@@ -141,9 +141,9 @@
 	if err := sch.Check(doc); err != nil {
 		return nil, err
 	}
-	c := new(Configuration)
-	if err := json.Unmarshal(text, c); err != nil {
-		return nil, fmt.Errorf("not readable: %w", err)
+	c, err := ReadChecked(text)
+	if err != nil {
+		return nil, err
 	}
 	known := map[string]bool{}
 	for _, s := range c.Clusters {
@@ -173,13 +173,13 @@
 	return c, nil
 }
 
-// Version reads the version alone, from a configuration that was checked.
-func Version(text []byte) uint64 {
-	var v struct {
-		Version uint64 `json:"config_version"`
+// ReadChecked reads a configuration that was checked before it was stored.
+func ReadChecked(text []byte) (*Configuration, error) {
+	c := new(Configuration)
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("not readable: %w", err)
 	}
-	_ = json.Unmarshal(text, &v) // 0 where there is none
-	return v.Version
+	return c, nil
 }
 
 // Target is one service that a route may send to.
@@ -257,9 +257,16 @@
 				split = []Share{{x.Action.Service, 1}}
 			}
 			for _, s := range split {
-				r.Targets = append(r.Targets, Target{t.service[s.Service], s.Weight})
+				i, known := t.service[s.Service]
+				if !known {
+					continue // Read refuses such a configuration
+				}
+				r.Targets = append(r.Targets, Target{i, s.Weight})
 				r.total += s.Weight
 			}
+			if len(r.Targets) == 0 {
+				continue
+			}
 			t.Routes = append(t.Routes, r)
 			t.hosts[host] = append(t.hosts[host], r)
 		}
