--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -170,7 +170,7 @@
 		wake: map[chan struct{}]struct{}{}, groups: map[string]map[chan struct{}]struct{}{},
 		applied: map[chan struct{}]uint64{}, sessions: map[*session]struct{}{}, beats: map[string]time.Duration{},
 	}
-	l.cache = spool.NewCacher(l.timing.Window, 20000)
+	l.cache = spool.NewCacher(l.timing.Window, 20000, int(set.Limits.MemoryMB*(1<<20))/12)
 	l.nProposals = board.Counter("proposals_total")
 	l.nUnknown = board.Counter("proposals_unknown_total")
 	l.nElections = board.Counter("elections_total")
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -32,18 +32,23 @@
 type Cacher struct {
 	window   time.Duration
 	most     int
+	bytes    int // of the values held, and how many there may be
+	mostByte int
 	slots    []slot
 	floor    uint64 // highest revision that is no longer, or never was, in the window
 	revision uint64
 }
 
-// NewCacher makes a cache that keeps events for window, most of them at most.
-func NewCacher(window time.Duration, most int) *Cacher { return &Cacher{window: window, most: most} }
+// NewCacher makes a cache that keeps events for window, most of them and
+// mostBytes of their values at most.
+func NewCacher(window time.Duration, most, mostBytes int) *Cacher {
+	return &Cacher{window: window, most: most, mostByte: mostBytes}
+}
 
 // Reset starts over from a store's state at a revision, as after a snapshot:
 // no earlier event is known.
 func (c *Cacher) Reset(revision uint64) {
-	c.slots, c.floor, c.revision = nil, revision, revision
+	c.slots, c.bytes, c.floor, c.revision = nil, 0, revision, revision
 }
 
 // Append takes the events of one write and the revision that it brought.
@@ -51,14 +56,14 @@
 	c.revision = revision
 	for _, e := range events {
 		c.slots = append(c.slots, slot{e, now})
+		c.bytes += len(e.Object.Value)
 	}
 	n := 0
-	for n < len(c.slots) && (now-c.slots[n].at > c.window || len(c.slots)-n > c.most) {
-		c.floor = c.slots[n].event.Revision
-		n++
-	}
 	// A write's events leave the window together.
-	for n > 0 && n < len(c.slots) && c.slots[n].event.Revision == c.floor {
+	for n < len(c.slots) && (now-c.slots[n].at > c.window || len(c.slots)-n > c.most || c.bytes > c.mostByte ||
+		(n > 0 && c.slots[n].event.Revision == c.floor)) {
+		c.floor = c.slots[n].event.Revision
+		c.bytes -= len(c.slots[n].event.Object.Value)
 		n++
 	}
 	if n > 0 {
--- a/spool/spool_test.go
+++ b/spool/spool_test.go
@@ -19,7 +19,7 @@
 	for seed := int64(0); seed < 30; seed++ {
 		r := rand.New(rand.NewSource(seed))
 		s := rack.New()
-		c := spool.NewCacher(200*time.Millisecond, 12)
+		c := spool.NewCacher(200*time.Millisecond, 12, 30)
 		m := spool.NewMirror()
 		lists := 0
 		for step := range 800 {
@@ -76,7 +76,7 @@
 }
 
 func TestRefusals(t *testing.T) {
-	c := spool.NewCacher(time.Second, 10)
+	c := spool.NewCacher(time.Second, 10, 1000)
 	c.Reset(5)
 	if _, err := c.Since(6, 1); !errors.Is(err, spool.ErrAhead) {
 		t.Errorf("a cache behind its reader said %v", err)
@@ -92,7 +92,7 @@
 }
 
 func Example() {
-	s, c := rack.New(), spool.NewCacher(time.Minute, 100)
+	s, c := rack.New(), spool.NewCacher(time.Minute, 100, 1<<20)
 	write := func(key string) {
 		_, ev := s.Apply(rack.Command{Txn: &rack.Txn{Then: []rack.Write{{Key: key}}}})
 		c.Append(0, s.Revision(), ev)
