--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -417,10 +417,7 @@
 // forward tries endpoints until one answers or nothing more may be tried.
 func (p *Plane) forward(q *request) {
 	svc := q.svc
-	svc.mu.Lock()
-	svc.budget.Request()
-	svc.arrived++
-	svc.mu.Unlock()
+	rank := svc.arrive(string(q.ctx.RemoteIP()), q.route.Priority)
 	skip := func(e *balance.Endpoint) bool {
 		for _, t := range q.tried {
 			if t == e {
@@ -439,7 +436,7 @@
 			break
 		}
 		wait := min(q.route.Aim/6, left/4)
-		e, sh := svc.acquire(p, q.route.Priority, wait, skip)
+		e, sh := svc.acquire(p, rank, wait, skip)
 		if e == nil {
 			break
 		}
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -95,12 +95,26 @@
 	shelves map[*balance.Endpoint]*shelf
 	queue   []*queued
 	arrived int // requests since the last report
-	share   *balance.Admission
+	// recent counts them by client, so that in a queue those who ask often
+	// stand behind those who do not.
+	recent map[string]int
+	share  *balance.Admission
 }
 
 type queued struct {
-	priority int
-	wake     chan struct{}
+	rank rank
+	wake chan struct{}
+}
+
+// rank orders a queue: by the route's priority, then by how often the client
+// has asked lately (fair queuing by flow).
+type rank struct{ priority, asked int }
+
+func (r rank) before(o rank) bool {
+	if r.priority != o.priority {
+		return r.priority < o.priority
+	}
+	return r.asked < o.asked
 }
 
 // New makes a proxy node that knows nothing yet.
@@ -133,7 +147,7 @@
 	s := p.services[name]
 	if s == nil {
 		s = &service{
-			name: name, shelves: map[*balance.Endpoint]*shelf{},
+			name: name, shelves: map[*balance.Endpoint]*shelf{}, recent: map[string]int{},
 			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.6}),
 			share:  balance.NewAdmission(8 * p.timing.Silence / 3),
 			budget: balance.NewBudget(p.set.Bounds.RetryBudgetRatio*0.95, 1),
@@ -323,14 +337,31 @@
 	return s.pool.Pick(now, rand.Float64, skip), limit
 }
 
-// acquire picks an endpoint, waiting for a free place up to wait. Those with a
-// smaller priority number go first; a wait that cannot end in time is not begun.
-func (s *service) acquire(p *Plane, priority int, wait time.Duration, skip func(*balance.Endpoint) bool) (*balance.Endpoint, *shelf) {
+// arrive counts a request of a client and gives its rank in a queue.
+func (s *service) arrive(client string, priority int) rank {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request()
+	s.arrived++
+	n := s.recent[client]
+	if n > 0 || len(s.recent) < clientsCounted {
+		s.recent[client] = n + 1
+	}
+	// Few and a few more are alike: only those who press stand back.
+	return rank{priority, n / 4}
+}
+
+// clientsCounted bounds how many clients are told apart between two reports.
+const clientsCounted = 4096
+
+// acquire picks an endpoint, waiting for a free place up to wait, in the order
+// of ranks; a wait that cannot end in time is not begun.
+func (s *service) acquire(p *Plane, r rank, wait time.Duration, skip func(*balance.Endpoint) bool) (*balance.Endpoint, *shelf) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ahead := 0
 	for _, x := range s.queue {
-		if x.priority <= priority {
+		if !r.before(x.rank) {
 			ahead++
 		}
 	}
@@ -344,8 +375,8 @@
 	if wait <= 0 || ahead > max(limit, 8)/2 {
 		return nil, nil
 	}
-	q := &queued{priority: priority, wake: make(chan struct{}, 1)}
-	at := sort.Search(len(s.queue), func(i int) bool { return s.queue[i].priority > priority })
+	q := &queued{rank: r, wake: make(chan struct{}, 1)}
+	at := sort.Search(len(s.queue), func(i int) bool { return r.before(s.queue[i].rank) })
 	s.queue = append(s.queue, nil)
 	copy(s.queue[at+1:], s.queue[at:])
 	s.queue[at] = q
@@ -403,6 +434,7 @@
 		_, inflight := s.pool.Slots(p.now())
 		s.share.Observe(balance.Load{Rate: float64(s.arrived) / span.Seconds(), Inflight: float64(inflight)})
 		s.arrived = 0
+		clear(s.recent)
 		out[name] = s.share.Own()
 		s.mu.Unlock()
 	}
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -456,3 +456,47 @@
 		}
 	})
 }
+
+// TestQueueOrder: a place that becomes free goes to the smaller priority number,
+// then to the client that asked less; who presses is the first to be refused.
+func TestQueueOrder(t *testing.T) {
+	e := newEndpoint(t, func(int, string) string { return ok("x") })
+	p, _ := front(t, e)
+	s := p.services["s"]
+	s.pool.SetConnections(1) // one request at a time
+	busy, _ := s.acquire(p, rank{}, 0, nil)
+	if busy == nil {
+		t.Fatal("no free place at the start")
+	}
+	var press rank
+	for range 12 {
+		press = s.arrive("noisy", 1)
+	}
+	calm := s.arrive("calm", 1)
+	order := make(chan string, 3)
+	enter := func(name string, r rank, queued int) {
+		go func() {
+			got, _ := s.acquire(p, r, 20*time.Second, nil)
+			order <- name
+			s.release(p, got, true, 0)
+		}()
+		for { // until it stands in the queue
+			s.mu.Lock()
+			n := len(s.queue)
+			s.mu.Unlock()
+			if n == queued {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	enter("noisy", press, 1)
+	enter("calm", calm, 2)
+	enter("urgent", rank{priority: 0}, 3)
+	s.release(p, busy, true, 0)
+	for _, want := range []string{"urgent", "calm", "noisy"} {
+		if got := <-order; got != want {
+			t.Errorf("%s went where %s should", got, want)
+		}
+	}
+}
