--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,12 +12,18 @@
 	Zone     string
 	Capacity int
 	Draining bool
+	Cold     bool
+	Region   int // a dense index; what is unknown is -1
 }
 
 // Endpoint is one endpoint's state as this node sees it.
 type Endpoint struct {
 	Spec
-	near     bool
+	far      float64 // what its distance adds to its cost
+	crowd    float64 // what the load of its zone adds
+	off      bool    // its zone is evacuated
+	back     bool    // its zone has just been taken back
+	meter    meter
 	inflight int
 	// slow is the learned time of an answer over what its route usually takes.
 	slow    float64
@@ -36,6 +42,9 @@
 // Gone tells whether the registry has dropped the endpoint.
 func (e *Endpoint) Gone() bool { return e.gone || e.Draining }
 
+// shut tells whether nothing may be sent to the endpoint.
+func (e *Endpoint) shut() bool { return e.Draining || e.off }
+
 // Ejected tells whether the endpoint is kept from ordinary choice.
 func (e *Endpoint) Ejected(now time.Duration) bool { return e.fails > 0 && now < e.until }
 
@@ -47,6 +56,9 @@
 	// Bias is how many requests more a near endpoint may have in hand before a
 	// far one is as good.
 	Bias float64
+	// Region is where this node is, and RegionBias the same for another region.
+	Region     int
+	RegionBias float64
 }
 
 // Pool is the endpoints of one service.
@@ -56,10 +68,67 @@
 	byID        map[string]*Endpoint
 	peers       int // nodes that share the endpoints
 	connections int
+	coldRate    float64         // what a cold endpoint bears a second; 0: any load
+	zones       map[string]Zone // those that are not in ordinary use
 }
 
+// Zone is how a zone is used. The zero value is ordinary use.
+type Zone uint8
+
+// The uses of a zone.
+const (
+	Used    Zone = iota
+	Emptied      // evacuated: nothing is sent there
+	Back         // taken back: its endpoints count as cold
+)
+
 // NewPool makes a pool without endpoints.
-func NewPool(cfg Config) *Pool { return &Pool{cfg: cfg, byID: map[string]*Endpoint{}, peers: 1} }
+func NewPool(cfg Config) *Pool {
+	return &Pool{cfg: cfg, byID: map[string]*Endpoint{}, peers: 1, zones: map[string]Zone{}}
+}
+
+// SetColdRate tells how many requests a second a cold endpoint bears; it then
+// gets only what is granted. 0 is no bound.
+func (p *Pool) SetColdRate(rate float64) { p.coldRate = rate }
+
+// SetZone tells how a zone is used.
+func (p *Pool) SetZone(zone string, z Zone) {
+	p.zones[zone] = z
+	for _, e := range p.all {
+		if e.Zone == zone {
+			e.off, e.back = z == Emptied, z == Back
+		}
+	}
+}
+
+// Grant takes a share of a cold endpoint that holds until a moment.
+func (p *Pool) Grant(now time.Duration, g Grant, until time.Duration) {
+	if e := p.byID[g.Endpoint]; e != nil {
+		e.meter.grant(now, g.Rate, until)
+	}
+}
+
+// SetLoads takes how many requests all nodes have at the endpoints of each
+// zone. A zone that comes near to being full costs more, so that the next one
+// takes what is too much for it before its queues stand.
+func (p *Pool) SetLoads(inflight map[string]float64) {
+	slots := map[string]float64{}
+	for _, e := range p.all {
+		if !e.shut() {
+			slots[e.Zone] += float64(e.Capacity)
+		}
+	}
+	for _, e := range p.all {
+		e.crowd = max(0, inflight[e.Zone]/max(1, slots[e.Zone])-crowded) * crowdCost
+	}
+}
+
+// Above crowded of a zone's slots in use, each further tenth costs a tenth of
+// crowdCost.
+const (
+	crowded   = 0.7
+	crowdCost = 8
+)
 
 // SetPeers tells how many nodes share the endpoints.
 func (p *Pool) SetPeers(n int) { p.peers = max(1, n) }
@@ -79,7 +148,7 @@
 // ejected say nothing about how full the others are.
 func (p *Pool) Slots(now time.Duration) (slots, inflight int) {
 	for _, e := range p.all {
-		if !e.Draining && !e.Ejected(now) {
+		if !e.shut() && !e.Ejected(now) {
 			slots += e.Capacity
 			inflight += e.inflight
 		}
@@ -99,7 +168,14 @@
 		p.all = append(p.all, e)
 	}
 	e.Spec = s
-	e.near = s.Zone == p.cfg.Zone
+	e.far = 0
+	if s.Zone != p.cfg.Zone {
+		e.far = p.cfg.Bias
+		if s.Region != p.cfg.Region {
+			e.far = p.cfg.RegionBias
+		}
+	}
+	e.off, e.back = p.zones[s.Zone] == Emptied, p.zones[s.Zone] == Back
 	if cold > 0 {
 		e.cold = now + cold
 	}
@@ -131,19 +207,19 @@
 	if now < e.cold {
 		c *= 2
 	}
-	if !e.near {
-		c += p.cfg.Bias
-	}
-	return c
+	return c + e.far + e.crowd
 }
 
+// metered tells whether the endpoint gets only what is granted.
+func (p *Pool) metered(e *Endpoint) bool { return p.coldRate > 0 && (e.Cold || e.back) }
+
 // Pick chooses an endpoint and counts the request as out to it. skip keeps out
 // those already tried. Nil means that none can take a request.
 func (p *Pool) Pick(now time.Duration, rnd func() float64, skip func(*Endpoint) bool) *Endpoint {
 	var best, back *Endpoint
 	bestCost := 0.0
 	for _, e := range p.all {
-		if e.Draining || (skip != nil && skip(e)) {
+		if e.shut() || (skip != nil && skip(e)) || (p.metered(e) && !e.meter.ready(now)) {
 			continue
 		}
 		if e.fails > 0 {
@@ -173,6 +249,9 @@
 	}
 	if best != nil {
 		best.inflight++
+		if p.metered(best) {
+			best.meter.held--
+		}
 	}
 	return best
 }
@@ -182,7 +261,7 @@
 func (p *Pool) last(now time.Duration, skip func(*Endpoint) bool) *Endpoint {
 	var best *Endpoint
 	for _, e := range p.all {
-		if e.Draining || e.fails == 0 || e.trial || (skip != nil && skip(e)) {
+		if e.shut() || e.fails == 0 || e.trial || (skip != nil && skip(e)) || (p.metered(e) && !e.meter.ready(now)) {
 			continue
 		}
 		if best == nil || e.until < best.until {
--- a/cmd/vise/main.go
+++ b/cmd/vise/main.go
@@ -31,6 +31,9 @@
 	if set.Listen.Control == "" {
 		return errors.New("listen_addresses.control_plane: missing, vise serves control")
 	}
+	if set.DataDirectory == "" && !set.QuorumMember {
+		return runRelay(set, log, sig)
+	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * 0.7 * (1 << 20)))
 	debug.SetGCPercent(75)
@@ -49,12 +52,19 @@
 	if err != nil {
 		return fmt.Errorf("control_plane: %w", err)
 	}
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	go func() { failed <- srv.Serve(ln) }()
+	if set.Listen.Directory != "" {
+		dir, err := net.Listen("tcp4", set.Listen.Directory)
+		if err != nil {
+			return fmt.Errorf("directory: %w", err)
+		}
+		go func() { failed <- hatch.Server(hatch.NewDirectory(node, board).Serve, 64<<10).Serve(dir) }()
+	}
 	for {
 		select {
 		case err := <-failed:
-			return fmt.Errorf("control_plane: %w", err)
+			return fmt.Errorf("listener ended: %w", err)
 		case s := <-sig.Changed:
 			node.SetSeeds(s.Seeds)
 		case <-sig.Stop:
--- a/internal/caliper/caliper.go
+++ b/internal/caliper/caliper.go
@@ -61,6 +61,10 @@
 	Recovery         Seconds `toml:"recovery_s"`
 	HistoryRetention Seconds `toml:"history_retention_s"`
 	Release          Seconds `toml:"release_s"`
+	ColdOvershoot    float64 `toml:"cold_overshoot"`
+	ColdSlack        float64 `toml:"cold_slack"`
+	Evacuation       Seconds `toml:"evacuation_s"`
+	TTLMax           Seconds `toml:"ttl_max_s"`
 }
 
 // Settings is what a process is told at its start.
@@ -68,6 +72,7 @@
 	NodeName       string            `toml:"node_name"`
 	Role           string            `toml:"role"`
 	Serves         []string          `toml:"serves"`
+	Entry          string            `toml:"entry_type"`
 	IP             string            `toml:"ip_address"`
 	Zone           string            `toml:"zone"`
 	Region         string            `toml:"region"`
@@ -82,10 +87,13 @@
 		Frontend  string `toml:"frontend"`
 		Readiness string `toml:"readiness"`
 		Control   string `toml:"control_plane"`
+		Directory string `toml:"directory"`
 	} `toml:"listen_addresses"`
 	Limits    Limits `toml:"limits"`
 	Tolerance struct {
 		Machines int `toml:"machines"`
+		Zones    int `toml:"zones"`
+		Regions  int `toml:"regions"`
 	} `toml:"fault_tolerance"`
 	Bounds Bounds `toml:"bounds"`
 }
@@ -131,8 +139,8 @@
 	if len(s.PortRange) == 2 && s.PortRange[0] > s.PortRange[1] {
 		return nil, errors.New("internal_port_range: first port is above the last")
 	}
-	need := map[string]string{"control": s.Listen.Control, "edge": s.Listen.Frontend}
-	name := map[string]string{"control": "control_plane", "edge": "frontend"}
+	need := map[string]string{"control": s.Listen.Control, "edge": s.Listen.Frontend, "directory": s.Listen.Directory}
+	name := map[string]string{"control": "control_plane", "edge": "frontend", "directory": "directory"}
 	for _, what := range s.Serves {
 		if addr, known := need[what]; known && addr == "" {
 			return nil, fmt.Errorf("listen_addresses.%s: missing, but serves names %q", name[what], what)
@@ -170,6 +178,14 @@
 	return v
 }
 
+// EntryDirectory is the entry type under which clients ask a directory where to
+// go.
+const EntryDirectory = "directory"
+
+// GrantLasts is how long a share of a cold endpoint holds, at its holder from
+// the report that it answers, at the granter from when it was given.
+func (s *Settings) GrantLasts() time.Duration { return s.Bounds.Contact.D() * 2 / 3 }
+
 // InternalAddr is the address of the control-plane node's internal port, given
 // any address of that machine.
 func (s *Settings) InternalAddr(control string) string {
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/binary"
 	"encoding/gob"
@@ -23,7 +24,7 @@
 )
 
 // Version is the wire's version. Nodes of different versions do not talk.
-const Version = 1
+const Version = 2
 
 // MaxFrame bounds one frame.
 const MaxFrame = 32 << 20
@@ -35,6 +36,7 @@
 const (
 	Peer  Role = iota + 1 // a control-plane node
 	Proxy                 // a proxy node
+	Relay                 // a control-plane node without a disk, which sends callers on
 )
 
 // Hello opens a connection.
@@ -44,6 +46,7 @@
 	Node    string
 	ID      uint64
 	Addr    string // where a control-plane node is reached
+	Zone    string
 }
 
 // Beat renews the liveness of an endpoint.
@@ -76,12 +79,32 @@
 	Gone     bool
 }
 
-// Bookmark tells a proxy how far the stream is and whom else it may ask.
+// ControlNode is where a control-plane node is reached, and its zone if that is
+// known.
+type ControlNode struct{ Addr, API, Zone string }
+
+// Bookmark tells a proxy how far the stream is, whom else it may ask, and what
+// the leader has shared out.
 type Bookmark struct {
 	Revision uint64
-	Control  []string // internal addresses of control-plane nodes
+	Control  []ControlNode
 	Proxies  int
 	Loads    map[string]balance.Load // by service, over all proxies
+	Round    *Round
+}
+
+// Report is what a proxy tells now and then. Its sequence dates the shares that
+// are granted in answer.
+type Report struct {
+	Seq   uint64
+	Loads map[string]balance.Load
+	Self  *rack.Proxy // its entry in the registry, where proxies are members
+}
+
+// Round is what the leader granted one proxy, in answer to the report Seq.
+type Round struct {
+	Seq    uint64
+	Grants []balance.Grant
 }
 
 // Frame is one message. Only what is set is sent.
@@ -95,18 +118,30 @@
 	Bookmark *Bookmark
 	Gone     bool
 	Proxies  *ProxyCount
-	Ack      uint64                  // revision that a proxy has applied
-	Loads    map[string]balance.Load // what a proxy asks of each service
+	Ack      uint64 // revision that a proxy has applied
+	Report   *Report
 }
 
-// ProxyCount tells the leader how many proxies watch at a node, and the others
-// the sum.
+// ProxyCount tells the leader which proxies watch at a node, and the others the
+// sum over all.
 type ProxyCount struct {
-	Here  int
-	Sum   int
-	Loads map[string]balance.Load
+	Here   map[string]uint64 // by name, the newest report's sequence
+	Sum    int
+	Loads  map[string]balance.Load
+	Rounds map[string]Round // by proxy
 }
 
+// Frames from packFrom bytes on are compressed; packedBit in the length tells.
+const (
+	packFrom  = 8 << 10
+	packedBit = 1 << 31
+)
+
+var packers = sync.Pool{New: func() any {
+	w, _ := flate.NewWriter(nil, flate.BestSpeed) // the level is valid
+	return w
+}}
+
 // Conn is one connection. Send may be called from any goroutine; Receive from
 // one at a time.
 type Conn struct {
@@ -117,6 +152,8 @@
 	enc *gob.Encoder
 	in  bytes.Buffer
 	dec *gob.Decoder
+	// packed is a large frame in its compressed form.
+	packed bytes.Buffer
 	// WriteTimeout bounds one Send.
 	WriteTimeout time.Duration
 }
@@ -191,7 +228,24 @@
 	if len(b)-4 > MaxFrame {
 		return fmt.Errorf("dowel: frame of %d bytes is too large", len(b)-4)
 	}
-	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	head := uint32(len(b) - 4)
+	if len(b) > packFrom {
+		c.packed.Reset()
+		c.packed.Write([]byte{0, 0, 0, 0})
+		w := packers.Get().(*flate.Writer)
+		w.Reset(&c.packed)
+		_, err := w.Write(b[4:])
+		if err == nil {
+			err = w.Close()
+		}
+		packers.Put(w)
+		if err != nil {
+			return fmt.Errorf("dowel: pack: %w", err)
+		}
+		b = c.packed.Bytes()
+		head = uint32(len(b)-4) | packedBit
+	}
+	binary.BigEndian.PutUint32(b, head)
 	if err := c.raw.SetWriteDeadline(time.Now().Add(c.WriteTimeout)); err != nil {
 		return fmt.Errorf("dowel: %w", err)
 	}
@@ -199,6 +253,10 @@
 		c.raw.Close()
 		return fmt.Errorf("dowel: send: %w", err)
 	}
+	if c.out.Cap() > 16*packFrom { // a list or a large configuration; not kept
+		c.out, c.packed = bytes.Buffer{}, bytes.Buffer{}
+		c.out.Grow(1 << 10)
+	}
 	return nil
 }
 
@@ -216,12 +274,18 @@
 		return nil, fmt.Errorf("dowel: receive: %w", err)
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > MaxFrame {
+	packed := n&packedBit != 0
+	if n &^= packedBit; n > MaxFrame {
 		return nil, fmt.Errorf("dowel: frame of %d bytes is too large", n)
 	}
 	c.in.Reset()
-	if m, err := io.CopyN(&c.in, c.rd, int64(n)); err != nil || m != int64(n) {
-		return nil, fmt.Errorf("dowel: receive: %w", err)
+	body := io.LimitReader(c.rd, int64(n))
+	if packed {
+		if m, err := io.Copy(&c.in, io.LimitReader(flate.NewReader(bufio.NewReader(body)), MaxFrame+1)); err != nil || m > MaxFrame {
+			return nil, fmt.Errorf("dowel: unpack %d bytes: %w", m, err)
+		}
+	} else if m, err := io.Copy(&c.in, body); err != nil || m != int64(n) {
+		return nil, fmt.Errorf("dowel: receive: %w", errors.Join(err, io.ErrUnexpectedEOF))
 	}
 	f := new(Frame)
 	if err := c.dec.Decode(f); err != nil {
--- a/internal/dowel/dowel_test.go
+++ b/internal/dowel/dowel_test.go
@@ -1,6 +1,7 @@
 package dowel
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"net"
@@ -23,7 +24,9 @@
 	frames := []*Frame{
 		{Hello: &Hello{Version: Version, Role: Peer, Node: "n", ID: 7}},
 		{Raft: []clamp.Message{{Type: clamp.MsgAppend, From: 1, To: 2, Term: 3, Entries: []clamp.Entry{{Index: 4, Term: 3, Data: []byte("x")}}}}},
-		{Events: []rack.Event{{Type: rack.Added, Object: rack.Object{Key: "k", Value: []byte("v"), ModRevision: 9}, Revision: 9}}, Bookmark: &Bookmark{Revision: 9, Control: []string{"c"}}},
+		{Events: []rack.Event{{Type: rack.Added, Object: rack.Object{Key: "k", Value: []byte("v"), ModRevision: 9}, Revision: 9}}, Bookmark: &Bookmark{Revision: 9, Control: []ControlNode{{Addr: "c", Zone: "z"}}}},
+		{Answer: &Answer{ID: 1, Objects: []rack.Object{{Key: "large", Value: bytes.Repeat([]byte("a large value "), 4000)}}}},
+		{Gone: true},
 	}
 	go func() {
 		c := NewConn(a, time.Second)
--- /dev/null
+++ b/internal/hatch/directory.go
@@ -0,0 +1,70 @@
+package hatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lichentray/internal/dial"
+	"lichentray/internal/notch"
+)
+
+// Resolver is what the directory needs of the control-plane node.
+type Resolver interface {
+	Resolve(host, region, zone string) (addresses []string, ttl time.Duration, err error)
+}
+
+// Directory tells clients which proxy nodes to go to.
+type Directory struct {
+	node  Resolver
+	board *dial.Board
+}
+
+// NewDirectory makes the handler's owner.
+func NewDirectory(node Resolver, board *dial.Board) *Directory { return &Directory{node, board} }
+
+// Serve handles one question.
+func (d *Directory) Serve(ctx *fasthttp.RequestCtx) {
+	answer, err := d.resolve(ctx)
+	what := "ok"
+	if err != nil {
+		what = notch.Of(err).String()
+		answer = fail(ctx, err)
+	}
+	d.board.Counter("resolves_total", "answer", what).Inc()
+	b, err := json.Marshal(answer)
+	if err != nil {
+		ctx.SetStatusCode(500)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+func (d *Directory) resolve(ctx *fasthttp.RequestCtx) (any, error) {
+	if string(ctx.Path()) != "/api/resolve" {
+		return nil, notch.New(notch.NoRoute, "no call at %s", ctx.Path())
+	}
+	if !ctx.IsGet() {
+		return nil, notch.New(notch.BadRequest, "resolve is a GET")
+	}
+	q := ctx.QueryArgs()
+	name := string(q.Peek("name"))
+	if name == "" {
+		return nil, notch.New(notch.BadRequest, "name: missing")
+	}
+	for _, k := range [...]string{"name", "region", "zone"} {
+		if len(q.Peek(k)) > 255 || len(q.PeekMulti(k)) > 1 {
+			return nil, notch.New(notch.BadRequest, "%s: too long or given twice", k)
+		}
+	}
+	addrs, ttl, err := d.node.Resolve(name, string(q.Peek("region")), string(q.Peek("zone")))
+	if err != nil {
+		return nil, err
+	}
+	return struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}{addrs, ttl.Seconds()}, nil
+}
--- a/internal/hatch/hatch.go
+++ b/internal/hatch/hatch.go
@@ -27,6 +27,8 @@
 	Do(cmd rack.Command) (rack.Result, error)
 	Cell(name string) (latch.Cell, error)
 	Watch(group string, after uint64, wait time.Duration) ([]latch.Event, uint64, error)
+	Evacuate(zone string, begin bool) error
+	Evacuations() (map[string]string, error)
 	Status() any
 }
 
@@ -59,21 +61,14 @@
 // Serve handles one call.
 func (a *API) Serve(ctx *fasthttp.RequestCtx) {
 	call, answer, err := a.call(ctx)
-	status := 200
 	if err != nil {
-		kind := notch.Of(err)
-		status = kind.Status()
-		if answer == nil {
-			answer = map[string]string{"error": kind.String(), "detail": err.Error()}
+		if body := fail(ctx, err); answer == nil {
+			answer = body
 		}
-		if status == 503 || status == 429 {
-			ctx.Response.Header.Set("Retry-After", "0.2")
-		}
-		a.board.Counter("calls_total", "call", call, "answer", kind.String()).Inc()
+		a.board.Counter("calls_total", "call", call, "answer", notch.Of(err).String()).Inc()
 	} else {
 		a.board.Counter("calls_total", "call", call, "answer", "ok").Inc()
 	}
-	ctx.SetStatusCode(status)
 	if raw, ok := answer.(text); ok {
 		ctx.SetContentType("text/plain; version=0.0.4")
 		ctx.SetBody(raw)
@@ -95,6 +90,17 @@
 	}
 }
 
+// fail sets the status of an error's kind and gives the body that tells of it.
+func fail(ctx *fasthttp.RequestCtx, err error) any {
+	kind := notch.Of(err)
+	status := kind.Status()
+	ctx.SetStatusCode(status)
+	if status == 503 || status == 429 {
+		ctx.Response.Header.Set("Retry-After", "0.2")
+	}
+	return map[string]string{"error": kind.String(), "detail": err.Error()}
+}
+
 type text []byte
 
 func (a *API) call(ctx *fasthttp.RequestCtx) (name string, answer any, err error) {
@@ -149,6 +155,9 @@
 	"locks.finish":          (*API).lockFinish,
 	"cells.replace":         (*API).cellReplace,
 	"cells.read":            (*API).cellRead,
+	"evacuations.begin":     (*API).evacuate,
+	"evacuations.finish":    (*API).takeBack,
+	"evacuations.read":      (*API).evacuations,
 }
 
 func decode(body []byte, to any) error {
@@ -213,6 +222,28 @@
 	return json.RawMessage(text), nil
 }
 
+func (a *API) evacuate(of string, _ []byte) (any, error) {
+	if err := needName(of); err != nil {
+		return nil, err
+	}
+	return nil, a.node.Evacuate(of, true)
+}
+
+func (a *API) takeBack(of string, _ []byte) (any, error) {
+	if err := needName(of); err != nil {
+		return nil, err
+	}
+	return nil, a.node.Evacuate(of, false)
+}
+
+func (a *API) evacuations(string, []byte) (any, error) {
+	zones, err := a.node.Evacuations()
+	if err != nil {
+		return nil, err
+	}
+	return map[string]any{"zones": zones}, nil
+}
+
 type lockBody struct {
 	Holder string  `json:"holder"`
 	Fence  uint64  `json:"fence"`
--- a/internal/hatch/hatch_test.go
+++ b/internal/hatch/hatch_test.go
@@ -20,6 +20,13 @@
 	got    any
 }
 
+func (n *node) Evacuate(string, bool) error { return n.err }
+func (n *node) Evacuations() (map[string]string, error) {
+	return map[string]string{"z": "evacuated"}, n.err
+}
+func (n *node) Resolve(host, region, zone string) ([]string, time.Duration, error) {
+	return []string{host + "-" + region + "-" + zone}, 1250 * time.Millisecond, n.err
+}
 func (n *node) Beat(e rack.Endpoint) error     { n.got = e; return n.err }
 func (n *node) SignOff(id string) error        { n.got = id; return n.err }
 func (n *node) Replace(b []byte) error         { n.got = string(b); return n.err }
@@ -69,6 +76,10 @@
 		{"watch", "GET", "/api/watch/g.?after=930&wait_ms=20", "", fence, nil, 200, `"revision":931`},
 		{"watch too old", "GET", "/api/watch/g.?after=1", "", fence, notch.New(notch.Expired, ""), 410, "expired"},
 		{"watch of no number", "GET", "/api/watch/g.?after=x", "", fence, nil, 400, "after"},
+		{"evacuate", "POST", "/api/rpc?call=evacuations.begin&of=z", "", fence, nil, 200, "{}"},
+		{"evacuate nothing", "POST", "/api/rpc?call=evacuations.begin", "", fence, nil, 400, "of"},
+		{"take back", "POST", "/api/rpc?call=evacuations.finish&of=z", "", fence, notch.New(notch.BadRequest, "zone"), 400, "zone"},
+		{"evacuations", "POST", "/api/rpc?call=evacuations.read", "", fence, nil, 200, `{"zones":{"z":"evacuated"}}`},
 		{"no such call", "POST", "/api/rpc?call=locks.steal&of=l", "", fence, nil, 404, "no_route"},
 		{"wrong method", "GET", "/api/rpc?call=locks.begin&of=l", "", fence, nil, 400, "POST"},
 		{"metrics", "GET", "/metrics", "", fence, nil, 200, "lichentray_"},
@@ -89,3 +100,28 @@
 		}
 	}
 }
+
+// TestDirectory checks the answers of the directory.
+func TestDirectory(t *testing.T) {
+	for _, c := range []struct {
+		what, uri string
+		err       error
+		status    int
+		says      string
+	}{
+		{"resolve", "/api/resolve?name=h&region=r&zone=z", nil, 200, `{"addresses":["h-r-z"],"ttl_s":1.25}`},
+		{"without a place", "/api/resolve?name=h", nil, 200, `"h--"`},
+		{"without a name", "/api/resolve?zone=z", nil, 400, "name: missing"},
+		{"two zones", "/api/resolve?name=h&zone=z&zone=y", nil, 400, "zone"},
+		{"unknown host", "/api/resolve?name=h", notch.New(notch.NoRoute, "name"), 404, "no_route"},
+		{"not yet", "/api/resolve?name=h", notch.New(notch.Unavailable, ""), 503, "unavailable"},
+		{"elsewhere", "/api/rpc", nil, 404, "no_route"},
+	} {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI(c.uri)
+		NewDirectory(&node{err: c.err}, dial.NewBoard()).Serve(&ctx)
+		if got := string(ctx.Response.Body()); ctx.Response.StatusCode() != c.status || !strings.Contains(got, c.says) {
+			t.Errorf("%s: answered %d %s, want %d with %q", c.what, ctx.Response.StatusCode(), got, c.status, c.says)
+		}
+	}
+}
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -35,6 +35,8 @@
 	}
 	l.repairMembers(now, ms)
 	l.findCrashed(now)
+	l.dropProxies(now)
+	l.endReturns(now)
 	l.trim(now)
 }
 
@@ -103,9 +105,13 @@
 // ask of each service together.
 func (l *Lathe) countProxies(now time.Duration) {
 	loads := map[string]balance.Load{}
+	here := map[string]uint64{}
 	l.mu.RLock()
-	here := len(l.sessions)
 	for s := range l.sessions {
+		if now-s.at > l.timing.Dead {
+			continue // frozen, most likely
+		}
+		here[s.node] = max(here[s.node], s.seq)
 		addLoads(loads, s.loads)
 	}
 	l.mu.RUnlock()
@@ -113,20 +119,25 @@
 		l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Proxies: &dowel.ProxyCount{Here: here, Loads: loads}})
 		return
 	}
-	sum := here
+	for name := range here {
+		l.proxies[name] = now
+	}
 	for id, c := range l.counts {
 		if now-c.at > l.timing.Dead {
 			delete(l.counts, id)
 			continue
 		}
-		sum += c.n
+		for name, seq := range c.here {
+			here[name] = max(here[name], seq)
+		}
 		addLoads(loads, c.loads)
 	}
+	rounds := l.share(now, here)
 	l.mu.Lock()
-	l.sum, l.loads = sum, loads
+	l.sum, l.loads, l.rounds = len(here), loads, rounds
 	l.mu.Unlock()
 	for _, m := range l.node.Members().All() {
-		l.links.tell(m.Addr, &dowel.Frame{Proxies: &dowel.ProxyCount{Sum: sum, Loads: loads}})
+		l.links.tell(m.Addr, &dowel.Frame{Proxies: &dowel.ProxyCount{Sum: len(here), Loads: loads, Rounds: rounds}})
 	}
 }
 
@@ -173,23 +184,38 @@
 	alive := func(m clamp.Member) bool {
 		return m.ID == l.self.ID || (newest[m.Addr] == m.ID && now-l.node.Heard(m.ID) < l.timing.Dead)
 	}
-	var candidate *clamp.Member
-	for i, m := range ms.Learners {
-		// Whoever follows within what one batch brings is caught up.
-		if alive(m) && l.node.Match(m.ID)+100 >= l.node.Last() && (candidate == nil || l.node.Match(m.ID) > l.node.Match(candidate.ID)) {
-			candidate = &ms.Learners[i]
-		}
-	}
 	var dead *clamp.Member
 	living := 0
+	votes := map[string]int{} // by place, of those that live
 	for i, m := range ms.Voters {
 		if alive(m) {
 			living++
+			votes[l.placeOf(m)]++
 		} else {
 			dead = &ms.Voters[i]
 		}
 	}
 	want := 2*l.set.Tolerance.Machines + 1
+	// No place may hold a majority of the votes, or its loss stops the core.
+	most := want
+	if l.set.Tolerance.Regions+l.set.Tolerance.Zones > 0 {
+		most = (want - 1) / 2
+	}
+	var candidate *clamp.Member
+	for i, m := range ms.Learners {
+		// Whoever follows within what one batch brings is caught up.
+		if !alive(m) || l.node.Match(m.ID)+100 < l.node.Last() || votes[l.placeOf(m)] >= most {
+			continue
+		}
+		if candidate == nil || votes[l.placeOf(m)] < votes[l.placeOf(*candidate)] ||
+			(votes[l.placeOf(m)] == votes[l.placeOf(*candidate)] && l.node.Match(m.ID) > l.node.Match(candidate.ID)) {
+			candidate = &ms.Learners[i]
+		}
+	}
+	crowded := false
+	for _, n := range votes {
+		crowded = crowded || n > most
+	}
 	var next clamp.Membership
 	why := ""
 	switch {
@@ -198,12 +224,16 @@
 		if newest[dead.Addr] != dead.ID {
 			next, why = ms.Without(dead.ID), "replaced voter leaves"
 		}
-	case candidate != nil && (dead != nil || len(ms.Voters) < want || len(ms.Voters)%2 == 0):
+	case candidate != nil && (dead != nil || len(ms.Voters) < want || (crowded && len(ms.Voters)%2 == 1)):
 		next, why = ms.WithVoter(*candidate), "learner votes"
 	case len(ms.Voters) > want && len(ms.Voters)%2 == 0:
 		var slow *clamp.Member
 		for i, m := range ms.Voters {
-			if m.ID != l.self.ID && (slow == nil || l.node.Match(m.ID) < l.node.Match(slow.ID)) {
+			if m.ID == l.self.ID {
+				continue
+			}
+			if n, has := votes[l.placeOf(m)], slow != nil; !has || n > votes[l.placeOf(*slow)] ||
+				(n == votes[l.placeOf(*slow)] && l.node.Match(m.ID) < l.node.Match(slow.ID)) {
 				slow = &ms.Voters[i]
 			}
 		}
@@ -223,6 +253,19 @@
 	}
 }
 
+// placeOf gives what of a member may be lost at once besides machines: its
+// region, else its zone.
+func (l *Lathe) placeOf(m clamp.Member) string {
+	zone := l.links.zone(m.Addr)
+	if l.set.Tolerance.Regions > 0 {
+		return l.set.Zones[zone]
+	}
+	if l.set.Tolerance.Zones > 0 {
+		return zone
+	}
+	return ""
+}
+
 // findCrashed removes endpoints whose beats stopped and that do not answer a
 // health probe either. Only a leader that a majority still hears judges, and
 // every endpoint has a fresh grace after a change of leader.
@@ -257,22 +300,10 @@
 }
 
 func (l *Lathe) healthPath(service string) string {
-	l.mu.RLock()
-	_, text, ok := l.configuration()
-	l.mu.RUnlock()
-	if !ok {
-		return ""
-	}
-	c, err := jig.ReadChecked(text)
-	if err != nil {
-		return ""
-	}
-	for _, s := range c.Clusters {
-		if s.Name == service {
-			return s.HealthPath
-		}
-	}
-	return ""
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, _ := l.cluster(service)
+	return c.HealthPath
 }
 
 // probe asks an endpoint whose beats stopped for its health, and removes it
@@ -361,6 +392,11 @@
 		}
 		l.beats[e.ID] = l.now()
 		o, known := l.store.Get(e.Key())
+		e.Cold = false
+		if e.ColdS > 0 {
+			c, _ := l.cluster(e.Service)
+			e.Cold = c.ColdRateS > 0
+		}
 		if !known {
 			return &rack.Txn{
 				If:   []rack.Condition{{Key: e.Key()}, {Key: gone}},
@@ -371,10 +407,10 @@
 		if err != nil {
 			return nil, notch.New(notch.Internal, "%v", err)
 		}
-		if old.Draining || !e.Draining {
+		if old.Draining || (!e.Draining && (old.Cold == e.Cold || e.Sequence < old.Sequence)) {
 			return nil, nil // an ordinary beat, or a late one: no write
 		}
-		old.Draining, old.Sequence = true, e.Sequence
+		old.Draining, old.Sequence, old.Cold = e.Draining, e.Sequence, e.Cold
 		return &rack.Txn{
 			If:   []rack.Condition{{Key: e.Key(), ModRevision: o.ModRevision}},
 			Then: []rack.Write{{Key: e.Key(), Value: old.Encode()}},
@@ -415,10 +451,14 @@
 		if held, _, ok := rack.DecodeConfig(o); ok && held >= c.Version {
 			return nil, nil // what is held is committed, and it is not older
 		}
-		return &rack.Txn{
-			If:   []rack.Condition{{Key: rack.ConfigKey, ModRevision: o.ModRevision}},
-			Then: []rack.Write{{Key: rack.ConfigKey, Value: value}},
-		}, nil
+		w := rack.Write{Key: rack.ConfigKey, Value: value}
+		if o.ModRevision > 0 {
+			// The whole object is replaced; what is logged and sent is the difference.
+			if d := rack.Delta(o.Value, value); len(d) < len(value)/2 {
+				w.Value, w.Patch = d, true
+			}
+		}
+		return &rack.Txn{If: []rack.Condition{{Key: rack.ConfigKey, ModRevision: o.ModRevision}}, Then: []rack.Write{w}}, nil
 	})
 	if wrote {
 		l.log.Info("configuration acknowledged", "version", c.Version)
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"lichentray/internal/dial"
 	"lichentray/internal/dowel"
 	"lichentray/internal/notch"
+	"lichentray/jig"
 	"lichentray/latch"
 	"lichentray/rack"
 	"lichentray/spool"
@@ -37,6 +39,8 @@
 	Answer    time.Duration // longest wait for an outcome
 	Window    time.Duration // of the cacher
 	Missed    time.Duration // an endpoint's beats before it is probed
+	Lease     time.Duration // of a proxy's entry
+	TTL       time.Duration // of an answer of the directory
 }
 
 // TimingOf derives the figures.
@@ -52,6 +56,8 @@
 		Answer:    min(s.Bounds.AckTimeout.D()/5, 900*time.Millisecond),
 		Window:    5 * time.Minute,
 		Missed:    s.HeartbeatEvery.D()*2 + contact/6,
+		Lease:     contact / 4,
+		TTL:       s.Bounds.TTLMax.D() / 4,
 	}
 }
 
@@ -98,6 +104,9 @@
 	marks     []mark
 	membersAt uint64 // log index of the membership that the links follow
 	counts    map[uint64]proxyCount
+	proxies   map[string]time.Duration // when the leader last heard of each
+	returning map[string]mark          // since when a zone is being taken back
+	granter   *balance.Granter
 
 	// Shared behind a short lock.
 	mu       sync.RWMutex
@@ -113,6 +122,11 @@
 	beats    map[string]time.Duration
 	sum      int
 	loads    map[string]balance.Load // replaced whole
+	rounds   map[string]dowel.Round  // replaced whole
+	places   map[string]balance.Place
+	// The configuration compiled, and the revision that it had.
+	compiled   *jig.Table
+	compiledAt uint64
 
 	links   linkSet
 	askSeq  atomic.Uint64
@@ -122,7 +136,7 @@
 }
 
 type proxyCount struct {
-	n     int
+	here  map[string]uint64
 	loads map[string]balance.Load
 	at    time.Duration
 }
@@ -163,6 +177,7 @@
 		mail: make(chan func(), 1024), disk: make(chan diskJob, 4096), ctx: ctx, stop: stop, diskDone: make(chan struct{}), portDone: make(chan struct{}),
 		pending: map[uint64]waiter{}, reads: map[uint64]chan outcome{},
 		alive: map[string]time.Duration{}, probing: map[string]bool{}, counts: map[uint64]proxyCount{},
+		proxies: map[string]time.Duration{}, returning: map[string]mark{}, places: map[string]balance.Place{},
 		store: rack.New(), locks: map[string]lockTimer{},
 		wake: map[chan struct{}]struct{}{}, groups: map[string]map[chan struct{}]struct{}{},
 		applied: map[chan struct{}]uint64{}, sessions: map[*session]struct{}{}, beats: map[string]time.Duration{},
@@ -227,13 +242,14 @@
 	}
 	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control}
 	l.cache.Reset(l.store.Revision())
+	l.readPlaces()
 	l.index = saved.Snapshot.Index
 	l.armLocks(0)
 	for _, e := range saved.Entries {
 		l.logBytes += len(e.Data)
 	}
 	l.node = clamp.New(clamp.Config{ID: id.ID, Heartbeat: l.timing.Heartbeat, Election: l.timing.Election, Rand: rand.Int63n}, 0, saved)
-	l.links = linkSet{l: l, byAddr: map[string]*link{}, addrOf: map[uint64]string{}}
+	l.links = linkSet{l: l, byAddr: map[string]*link{}, addrOf: map[uint64]string{}, zoneOf: map[string]string{addr: set.Zone}}
 	l.membersAt = l.node.MembersIndex()
 	l.links.learn(l.node.Members())
 
@@ -332,6 +348,8 @@
 			l.leadSince = now
 			l.nElections.Inc()
 			l.alive, l.counts = map[string]time.Duration{}, map[uint64]proxyCount{}
+			l.proxies, l.returning = map[string]time.Duration{}, map[string]mark{}
+			l.granter = balance.NewGranter(now, l.set.GrantLasts())
 			l.log.Info("leading", "term", n.Term())
 		} else if role != clamp.Leader && (l.role == clamp.Leader || leader != l.leader && leader != 0) {
 			l.log.Info("following", "term", n.Term(), "leader", hexID(leader))
@@ -376,6 +394,11 @@
 				l.timeLock(now, cmd.Latch, res.Latch)
 			}
 			l.cache.Append(now, l.store.Revision(), events)
+			for _, e := range events {
+				if strings.HasPrefix(e.Object.Key, rack.ProxyPrefix) {
+					l.noteProxy(e)
+				}
+			}
 			if len(events) > 0 {
 				for ch := range l.wake {
 					poke(ch)
@@ -413,6 +436,14 @@
 	}
 }
 
+// readPlaces reads the proxies' entries anew. The caller has the node's lock.
+func (l *Lathe) readPlaces() {
+	clear(l.places)
+	for _, o := range l.store.List(rack.ProxyPrefix) {
+		l.noteProxy(rack.Event{Type: rack.Added, Object: o})
+	}
+}
+
 func poke(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
@@ -446,6 +477,7 @@
 	err := l.store.Restore(s.Data)
 	if err == nil {
 		l.cache.Reset(l.store.Revision())
+		l.readPlaces()
 		l.index = s.Index
 		l.armLocks(l.now())
 		for ch := range l.wake {
--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -253,7 +253,9 @@
 			}
 		}
 		for _, e := range f.Events {
-			m.Apply(e)
+			if _, err := m.Apply(e); err != nil {
+				t.Fatal(err)
+			}
 		}
 		if f.Bookmark != nil {
 			m.Bookmark(f.Bookmark.Revision)
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -31,6 +31,7 @@
 	mu     sync.Mutex
 	byAddr map[string]*link
 	addrOf map[uint64]string
+	zoneOf map[string]string // by address, as far as it was told
 }
 
 // learn takes the addresses of a membership and ends links to those who left.
@@ -63,6 +64,20 @@
 	}
 }
 
+func (s *linkSet) noteZone(addr, zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if addr != "" {
+		s.zoneOf[addr] = zone
+	}
+}
+
+func (s *linkSet) zone(addr string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.zoneOf[addr]
+}
+
 func (s *linkSet) addr(id uint64) string {
 	if id == s.l.self.ID {
 		return s.l.self.Addr
@@ -160,7 +175,7 @@
 func (l *Lathe) turnLink(k *link) {
 	backoff := l.timing.Heartbeat / 2
 	for {
-		conn, err := dowel.Dial(k.ctx, k.addr, l.timing.Silence/2, dowel.Hello{Role: dowel.Peer, Node: l.set.NodeName, ID: l.self.ID, Addr: l.self.Addr})
+		conn, err := dowel.Dial(k.ctx, k.addr, l.timing.Silence/2, dowel.Hello{Role: dowel.Peer, Node: l.set.NodeName, ID: l.self.ID, Addr: l.self.Addr, Zone: l.set.Zone})
 		if err != nil {
 			select {
 			case <-k.ctx.Done():
@@ -253,6 +268,8 @@
 		l.servePeer(conn, hello)
 	case dowel.Proxy:
 		l.serveProxy(conn, hello)
+	case dowel.Relay:
+		l.serveRelay(conn)
 	}
 }
 
@@ -269,6 +286,7 @@
 
 func (l *Lathe) servePeer(conn *dowel.Conn, h dowel.Hello) {
 	l.links.note(h.ID, h.Addr)
+	l.links.noteZone(h.Addr, h.Zone)
 	for {
 		f, err := conn.Receive(0)
 		if err != nil {
@@ -295,10 +313,16 @@
 		if p := f.Proxies; p != nil {
 			if p.Sum > 0 {
 				l.mu.Lock()
-				l.sum, l.loads = p.Sum, p.Loads
+				l.sum, l.loads, l.rounds = p.Sum, p.Loads, p.Rounds
 				l.mu.Unlock()
 			} else {
-				l.post(func() { l.counts[h.ID] = proxyCount{p.Here, p.Loads, l.now()} })
+				l.post(func() {
+					now := l.now()
+					l.counts[h.ID] = proxyCount{p.Here, p.Loads, now}
+					for name := range p.Here {
+						l.proxies[name] = now
+					}
+				})
 			}
 		}
 		if f.Ask != nil {
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -17,7 +17,12 @@
 type session struct {
 	node  string
 	acked atomic.Uint64
-	loads map[string]balance.Load // under the node's lock
+	// Under the node's lock.
+	loads map[string]balance.Load
+	seq   uint64
+	at    time.Duration // of the newest report
+	// At most one write of its entry is on its way.
+	writing atomic.Bool
 }
 
 // eventsAFrame bounds one frame of a stream.
@@ -26,7 +31,7 @@
 // serveProxy answers a proxy's list and then streams to it. A proxy too slow
 // to take its stream is cut off and lists again.
 func (l *Lathe) serveProxy(conn *dowel.Conn, h dowel.Hello) {
-	s := &session{node: h.Node}
+	s := &session{node: h.Node, at: l.now()}
 	l.mu.Lock()
 	l.sessions[s] = struct{}{}
 	l.mu.Unlock()
@@ -46,10 +51,18 @@
 		if f.Ack > 0 {
 			s.acked.Store(f.Ack)
 		}
-		if f.Loads != nil {
+		if r := f.Report; r != nil {
 			l.mu.Lock()
-			s.loads = f.Loads
+			if s.at = l.now(); r.Seq > 0 {
+				s.loads, s.seq = r.Loads, r.Seq
+			}
 			l.mu.Unlock()
+			if r.Self != nil && s.writing.CompareAndSwap(false, true) {
+				go func() {
+					defer s.writing.Store(false)
+					_ = l.register(*r.Self) // the next report tries again
+				}()
+			}
 		}
 		if f.Ask == nil || started {
 			continue
@@ -60,7 +73,7 @@
 		}
 		if !ans.Gone {
 			started = true
-			go l.stream(conn, after, gone)
+			go l.stream(conn, s, after, gone)
 		}
 	}
 }
@@ -84,23 +97,67 @@
 		return ans, a.Least
 	}
 	l.nRelist.Inc()
-	ans.Objects = append(l.store.List(rack.EndpointPrefix), l.store.List(rack.ConfigKey)...)
+	for _, prefix := range watched {
+		ans.Objects = append(ans.Objects, l.store.List(prefix)...)
+	}
 	return ans, rev
 }
 
-func (l *Lathe) bookmark() *dowel.Bookmark {
+// watched are the kinds of object that proxies hold a copy of.
+var watched = [...]string{rack.EndpointPrefix, rack.EvacPrefix, rack.ConfigKey}
+
+func isWatched(key string) bool {
+	for _, prefix := range watched {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// control lists the members of the core for whoever follows one of them. The
+// caller has the node's lock.
+func (l *Lathe) control() []dowel.ControlNode {
+	var out []dowel.ControlNode
+	for _, m := range l.view.members.All() {
+		out = append(out, dowel.ControlNode{Addr: m.Addr, API: m.API, Zone: l.links.zone(m.Addr)})
+	}
+	return out
+}
+
+func (l *Lathe) bookmark(s *session) *dowel.Bookmark {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	b := &dowel.Bookmark{Revision: l.store.Revision(), Proxies: l.sum, Loads: l.loads}
-	for _, m := range l.view.members.All() {
-		b.Control = append(b.Control, m.Addr)
+	b := &dowel.Bookmark{Revision: l.store.Revision(), Proxies: l.sum, Loads: l.loads, Control: l.control()}
+	if r, ok := l.rounds[s.node]; ok {
+		b.Round = &r
 	}
 	return b
 }
 
+// serveRelay lets a relay know, for as long as this node is in touch, that it
+// may send callers here.
+func (l *Lathe) serveRelay(conn *dowel.Conn) {
+	mark := time.NewTicker(l.timing.Bookmark)
+	defer mark.Stop()
+	for !l.closing.Load() && l.fresh() {
+		l.mu.RLock()
+		b := &dowel.Bookmark{Control: l.control()}
+		l.mu.RUnlock()
+		if conn.Send(&dowel.Frame{Bookmark: b}) != nil {
+			return
+		}
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-mark.C:
+		}
+	}
+}
+
 // stream sends events as they come and bookmarks while this node is in touch
 // with the newest state; without them the proxy looks for another node.
-func (l *Lathe) stream(conn *dowel.Conn, after uint64, gone chan struct{}) {
+func (l *Lathe) stream(conn *dowel.Conn, s *session, after uint64, gone chan struct{}) {
 	defer conn.Close()
 	wake := make(chan struct{}, 1)
 	l.mu.Lock()
@@ -115,7 +172,7 @@
 	defer mark.Stop()
 	// The first mark tells whom else to ask; it must not cover events that are
 	// still to be sent.
-	first := l.bookmark()
+	first := l.bookmark(s)
 	first.Revision = after
 	if conn.Send(&dowel.Frame{Bookmark: first}) != nil {
 		return
@@ -131,7 +188,7 @@
 		if n := len(events); n > 0 {
 			out := events[:0]
 			for _, e := range events {
-				if e.Object.Key == rack.ConfigKey || strings.HasPrefix(e.Object.Key, rack.EndpointPrefix) {
+				if isWatched(e.Object.Key) {
 					out = append(out, e)
 				}
 			}
@@ -152,7 +209,7 @@
 				return
 			}
 			// Events that came since go out before the mark that covers them.
-			b := l.bookmark()
+			b := l.bookmark(s)
 			l.mu.RLock()
 			rest, err := l.cache.Since(after, 1)
 			l.mu.RUnlock()
--- /dev/null
+++ b/internal/lathe/world.go
@@ -0,0 +1,256 @@
+package lathe
+
+import (
+	"math/rand"
+	"time"
+
+	"lichentray/balance"
+	"lichentray/internal/dowel"
+	"lichentray/internal/notch"
+	"lichentray/jig"
+	"lichentray/rack"
+)
+
+// table gives the compiled configuration that this node holds, or nil. The
+// caller has the node's lock for writing.
+func (l *Lathe) table() *jig.Table {
+	o, _ := l.store.Get(rack.ConfigKey)
+	if o.ModRevision == l.compiledAt {
+		return l.compiled
+	}
+	l.compiled, l.compiledAt = nil, o.ModRevision
+	if _, text, ok := rack.DecodeConfig(o); ok {
+		if c, err := jig.ReadChecked(text); err == nil {
+			l.compiled = jig.Compile(c)
+		}
+	}
+	return l.compiled
+}
+
+// cluster gives a service as configured. The caller has the node's lock for
+// writing.
+func (l *Lathe) cluster(name string) (jig.Cluster, bool) {
+	t := l.table()
+	if t == nil {
+		return jig.Cluster{}, false
+	}
+	i := t.Service(name)
+	if i < 0 {
+		return jig.Cluster{}, false
+	}
+	return t.Services[i], true
+}
+
+// register keeps a proxy's entry in the registry as the proxy itself says.
+func (l *Lathe) register(p rack.Proxy) error {
+	_, err := l.transact(func() (*rack.Txn, error) {
+		o, _ := l.store.Get(p.Key())
+		if old, err := rack.DecodeProxy(o); err == nil && old == p {
+			return nil, nil
+		}
+		return &rack.Txn{
+			If:   []rack.Condition{{Key: p.Key(), ModRevision: o.ModRevision}},
+			Then: []rack.Write{{Key: p.Key(), Value: p.Encode()}},
+		}, nil
+	})
+	return err
+}
+
+// noteProxy takes a change of a proxy's entry. The caller has the node's lock.
+func (l *Lathe) noteProxy(e rack.Event) {
+	if e.Type == rack.Deleted {
+		delete(l.places, e.Object.Key)
+		return
+	}
+	if p, err := rack.DecodeProxy(e.Object); err == nil {
+		l.places[e.Object.Key] = balance.Place{Address: p.Address, Zone: p.Zone, Leaving: p.Leaving}
+	}
+}
+
+// resolveMost is how many addresses an answer of the directory may name.
+const resolveMost = 64
+
+// Resolve tells a client which proxy nodes to go to, and for how long that
+// holds. A node that lost touch answers from what it still holds: proxies that
+// were there a while ago are better than none.
+func (l *Lathe) Resolve(host, region, zone string) ([]string, time.Duration, error) {
+	fresh := l.fresh()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.table(); t == nil || !t.HasHost(host) {
+		if !fresh || t == nil {
+			return nil, 0, notch.New(notch.Unavailable, "name %q is not known here yet", host)
+		}
+		return nil, 0, notch.New(notch.NoRoute, "name: no configuration has host %q", host)
+	}
+	if known, ok := l.set.Zones[zone]; ok {
+		region = known
+	}
+	all := make([]balance.Place, 0, len(l.places))
+	for _, p := range l.places {
+		all = append(all, p)
+	}
+	out := balance.Direct(all, zone, region, func(z string) string { return l.set.Zones[z] }, resolveMost, rand.Intn)
+	if len(out) == 0 {
+		return nil, 0, notch.New(notch.Unavailable, "no proxy node is registered")
+	}
+	return out, l.timing.TTL, nil
+}
+
+// Evacuate empties a zone, or takes it back.
+func (l *Lathe) Evacuate(zone string, begin bool) error {
+	if _, known := l.set.Zones[zone]; !known {
+		return notch.New(notch.BadRequest, "of: zone %q is not known", zone)
+	}
+	key := rack.EvacPrefix + zone
+	wrote, err := l.transact(func() (*rack.Txn, error) {
+		o, there := l.store.Get(key)
+		state := rack.Evacuated
+		if !begin {
+			state = rack.Returning
+			if !there {
+				return nil, nil // nothing to take back
+			}
+		}
+		if there && string(o.Value) == state {
+			return nil, nil
+		}
+		return &rack.Txn{
+			If:   []rack.Condition{{Key: key, ModRevision: o.ModRevision}},
+			Then: []rack.Write{{Key: key, Value: []byte(state)}},
+		}, nil
+	})
+	if err == nil && !wrote {
+		// That the order already holds was read here; a promise needs a majority.
+		err = l.ReadPoint()
+	}
+	if wrote {
+		l.log.Info("evacuation acknowledged", "zone", zone, "begin", begin)
+	}
+	return err
+}
+
+// Evacuations lists the zones that are not in ordinary use.
+func (l *Lathe) Evacuations() (map[string]string, error) {
+	if err := l.ReadPoint(); err != nil {
+		return nil, err
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.evacuations(), nil
+}
+
+// evacuations reads what is held. The caller has the node's lock.
+func (l *Lathe) evacuations() map[string]string {
+	out := map[string]string{}
+	for _, o := range l.store.List(rack.EvacPrefix) {
+		out[o.Key[len(rack.EvacPrefix):]] = string(o.Value)
+	}
+	return out
+}
+
+// endReturns takes zones back into ordinary use once their endpoints' beats
+// have had the time to tell which are cold.
+func (l *Lathe) endReturns(now time.Duration) {
+	for _, o := range l.store.List(rack.EvacPrefix) {
+		if string(o.Value) != rack.Returning {
+			delete(l.returning, o.Key)
+			continue
+		}
+		since, ok := l.returning[o.Key]
+		if !ok || since.revision != o.ModRevision {
+			l.returning[o.Key] = mark{now, o.ModRevision}
+			continue
+		}
+		if now-since.at > 2*l.set.HeartbeatEvery.D()+l.timing.Silence {
+			l.node.Propose(rack.EncodeCommand(rack.Command{Txn: &rack.Txn{
+				If:   []rack.Condition{{Key: o.Key, ModRevision: o.ModRevision}},
+				Then: []rack.Write{{Key: o.Key, Delete: true}},
+			}}))
+			l.returning[o.Key] = mark{now, o.ModRevision} // asked again if it did not come through
+		}
+	}
+}
+
+// dropProxies removes entries of proxies whose lease has run out. Every proxy
+// has a fresh one after a change of leader.
+func (l *Lathe) dropProxies(now time.Duration) {
+	if !l.node.InTouch(l.timing.Election) || now-l.leadSince < l.timing.Lease {
+		return
+	}
+	for _, o := range l.store.List(rack.ProxyPrefix) {
+		name := o.Key[len(rack.ProxyPrefix):]
+		seen, ok := l.proxies[name]
+		if !ok {
+			l.proxies[name] = now
+			continue
+		}
+		if now-seen <= l.timing.Lease {
+			continue
+		}
+		l.proxies[name] = now // asked again if it does not come through
+		l.board.Counter("proxies_removed_total").Inc()
+		l.node.Propose(rack.EncodeCommand(rack.Command{Txn: &rack.Txn{
+			If:   []rack.Condition{{Key: o.Key, ModRevision: o.ModRevision}},
+			Then: []rack.Write{{Key: o.Key, Delete: true}},
+		}}))
+	}
+}
+
+// cold lists the cold endpoints, and which of the proxies told of may send to
+// each: those of its zone, else of its region, else all. The caller has the
+// node's lock for writing.
+func (l *Lathe) cold(told map[string]uint64) []balance.Cold {
+	var out []balance.Cold
+	evac := l.evacuations()
+	var byZone, byRegion map[string][]string
+	var all []string
+	for _, o := range l.store.List(rack.EndpointPrefix) {
+		e, err := rack.DecodeEndpoint(o)
+		if err != nil || e.Draining || (!e.Cold && evac[e.Zone] != rack.Returning) {
+			continue
+		}
+		c, ok := l.cluster(e.Service)
+		if !ok || c.ColdRateS <= 0 {
+			continue
+		}
+		if byZone == nil {
+			byZone, byRegion = map[string][]string{}, map[string][]string{}
+			for name := range told {
+				p, there := l.places[rack.ProxyPrefix+name]
+				if !there || p.Leaving {
+					continue
+				}
+				r := l.set.Zones[p.Zone]
+				byZone[p.Zone] = append(byZone[p.Zone], name)
+				byRegion[r] = append(byRegion[r], name)
+				all = append(all, name)
+			}
+		}
+		near := byZone[e.Zone]
+		if len(near) == 0 {
+			near = byRegion[l.set.Zones[e.Zone]]
+		}
+		if len(near) == 0 {
+			near = all
+		}
+		b := l.set.Bounds
+		out = append(out, balance.Cold{ID: e.ID, Rate: c.ColdRateS, Bound: 0.9 * (c.ColdRateS*b.ColdOvershoot + b.ColdSlack), Near: near})
+	}
+	return out
+}
+
+// share grants what cold endpoints may get to the proxies told of.
+func (l *Lathe) share(now time.Duration, told map[string]uint64) map[string]dowel.Round {
+	if l.set.Bounds.ColdOvershoot <= 0 || !l.node.InTouch(l.timing.Election) {
+		return nil // nothing is bounded, or another may lead by now
+	}
+	l.mu.Lock()
+	cold := l.cold(told)
+	l.mu.Unlock()
+	rounds := map[string]dowel.Round{}
+	for name, grants := range l.granter.Share(now, cold) {
+		rounds[name] = dowel.Round{Seq: told[name], Grants: grants}
+	}
+	return rounds
+}
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -17,12 +17,18 @@
 	pause := p.timing.Dial / 4
 	for ctx.Err() == nil {
 		good := false
-		for _, addr := range p.candidates(avoid) {
+		for _, addr := range p.line.Candidates(avoid) {
 			if ctx.Err() != nil {
 				return
 			}
 			began := time.Now()
-			if err := p.followOne(ctx, addr, &sweep); err != nil && time.Since(began) > p.timing.Silence*2 {
+			err := p.followOne(ctx, addr, &sweep)
+			if errors.Is(err, errNearer) {
+				good = true
+				avoid = ""
+				break
+			}
+			if err != nil && time.Since(began) > p.timing.Silence*2 {
 				p.n.streamLost.Inc()
 				p.log.Info("stream lost", "from", addr, "error", err)
 				good = true
@@ -47,39 +53,7 @@
 	}
 }
 
-// candidates lists the control-plane nodes known: the one on this machine
-// first, then those learned from the stream and the seeds by lot.
-func (p *Plane) candidates(avoid string) []string {
-	seen := map[string]bool{}
-	var out []string
-	add := func(a string) {
-		if !seen[a] {
-			seen[a] = true
-			out = append(out, a)
-		}
-	}
-	for _, a := range p.control {
-		add(a)
-	}
-	for _, s := range *p.seeds.Load() {
-		add(p.set.InternalAddr(s))
-	}
-	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	own := p.set.InternalAddr(p.set.IP)
-	for i, a := range out {
-		if a == own && a != avoid {
-			out[0], out[i] = out[i], out[0]
-		}
-	}
-	for i, a := range out {
-		if a == avoid {
-			last := len(out) - 1
-			out[i], out[last] = out[last], out[i]
-			break
-		}
-	}
-	return out
-}
+var errNearer = errors.New("plane: a nearer control-plane node is known")
 
 var errQuiet = errors.New("plane: refused by the control-plane node")
 
@@ -121,33 +95,51 @@
 		break
 	}
 	p.log.Info("following", "from", addr, "revision", p.mirror.Revision())
+	p.stream.Store(conn)
+	defer p.stream.Store(nil)
+	began, told := time.Now(), false
 	for ctx.Err() == nil {
 		f, err := conn.Receive(p.timing.Silence)
 		if err != nil {
 			return err
 		}
 		for _, e := range f.Events {
-			p.takeEvent(e)
+			if err := p.takeEvent(e); err != nil {
+				p.mirror.Forget()
+				return err
+			}
 		}
 		if b := f.Bookmark; b != nil {
 			p.mirror.Bookmark(b.Revision)
-			if len(b.Control) > 0 {
-				p.control = b.Control
+			p.line.Learn(b.Control)
+			if b.Control != nil {
+				p.setProxies(b.Proxies)
+				p.told(b.Loads)
+			}
+			if b.Round != nil {
+				p.granted(b.Round)
+			}
+			// A node that lies nearer takes over, but not in a hurry: it may have
+			// been left because it was not well.
+			if p.line.Nearer(addr) && (!p.movedOnce || time.Since(began) > p.set.Bounds.Contact.D()) {
+				p.movedOnce = true
+				return errNearer
 			}
-			p.setProxies(b.Proxies)
-			p.told(b.Loads)
 		}
 		rev := p.mirror.Revision()
 		p.n.revision.Set(int64(rev))
 		if f.Gone {
 			return errors.New("plane: cut off as too slow")
 		}
-		if span := time.Since(*sweep); span > 2*p.timing.Silence/3 {
-			*sweep = time.Now()
+		if span := time.Since(*sweep); span > 2*p.timing.Silence/3 || (!told && f.Bookmark != nil) {
+			told = true
+			if span > p.timing.Silence/3 {
+				*sweep = time.Now()
+			}
 			if r := p.routing.Load(); r != nil {
 				p.sweep(r.services)
 			}
-			if err := conn.Send(&dowel.Frame{Ack: rev, Loads: p.report(span)}); err != nil {
+			if err := conn.Send(&dowel.Frame{Ack: rev, Report: p.report(span)}); err != nil {
 				return err
 			}
 		}
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -32,6 +32,7 @@
 type request struct {
 	ctx    *fasthttp.RequestCtx
 	route  *jig.Route
+	homes  uint64 // a bit for each region that may serve it; 0 for all
 	stats  *routeStats
 	svc    *service
 	head   []byte // request line and headers, without the end
@@ -82,6 +83,7 @@
 	*buf = req.head
 	req.svc = r.services[req.route.Pick(rand.Float64())]
 	req.stats = r.routes[req.route.Index]
+	req.homes = r.homes[req.route.Index]
 	p.forward(&req)
 }
 
@@ -417,6 +419,9 @@
 	svc := q.svc
 	rank := svc.arrive(string(q.ctx.RemoteIP()), q.route.Priority)
 	skip := func(e *balance.Endpoint) bool {
+		if q.homes != 0 && (e.Region < 0 || q.homes>>min(e.Region, 62)&1 == 0) {
+			return true
+		}
 		for _, t := range q.tried {
 			if t == e {
 				return true
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,8 @@
 	"lichentray/balance"
 	"lichentray/internal/caliper"
 	"lichentray/internal/dial"
+	"lichentray/internal/dowel"
+	"lichentray/internal/plumb"
 	"lichentray/jig"
 	"lichentray/rack"
 	"lichentray/spool"
@@ -28,6 +31,7 @@
 	EjectBase  time.Duration
 	EjectMost  time.Duration
 	IdleUnsaid time.Duration // an idle connection whose endpoint names no time
+	Grant      time.Duration // a share of a cold endpoint, from the report on
 }
 
 // TimingOf derives the figures.
@@ -42,6 +46,7 @@
 		EjectBase:  contact / 6,
 		EjectMost:  contact,
 		IdleUnsaid: contact,
+		Grant:      s.GrantLasts(),
 	}
 }
 
@@ -52,7 +57,7 @@
 	log    *slog.Logger
 	board  *dial.Board
 	start  time.Time
-	seeds  atomic.Pointer[[]string]
+	line   *plumb.Line
 
 	routing  atomic.Pointer[routing]
 	viewed   chan struct{} // closed once there is a first view
@@ -61,8 +66,17 @@
 
 	// Owned by the follower goroutine.
 	mirror   *spool.Mirror
-	control  []string
 	services map[string]*service
+	zones    map[string]balance.Zone  // those that are not in ordinary use
+	sentAt   map[uint64]time.Duration // of the latest reports
+	seq      uint64
+	// movedOnce tells that a nearer control-plane node has been sought.
+	movedOnce bool
+
+	// region gives each region a dense index; this node's is here.
+	region map[string]int
+	here   int
+	stream atomic.Pointer[dowel.Conn]
 
 	n counters
 }
@@ -77,6 +91,7 @@
 	table    *jig.Table
 	services []*service
 	routes   []*routeStats
+	homes    []uint64 // by route: a bit for each region that may serve it; 0 for all
 }
 
 type routeStats struct {
@@ -119,8 +134,19 @@
 
 // New makes a proxy node that knows nothing yet.
 func New(set *caliper.Settings, log *slog.Logger, board *dial.Board) *Plane {
-	p := &Plane{set: set, timing: TimingOf(set), log: log, board: board, start: time.Now(), mirror: spool.NewMirror(), viewed: make(chan struct{}), services: map[string]*service{}}
-	p.seeds.Store(&set.Seeds)
+	p := &Plane{
+		set: set, timing: TimingOf(set), log: log, board: board, start: time.Now(), mirror: spool.NewMirror(),
+		viewed: make(chan struct{}), services: map[string]*service{}, zones: map[string]balance.Zone{},
+		line: plumb.New(set), sentAt: map[uint64]time.Duration{}, region: map[string]int{},
+		// A later life of this node begins above the sequences of an earlier one.
+		seq: uint64(time.Now().UnixMilli()),
+	}
+	for _, r := range set.Zones {
+		if _, there := p.region[r]; !there {
+			p.region[r] = len(p.region)
+		}
+	}
+	p.here = p.regionOf(set.Zone)
 	c := board.Counter
 	p.n = counters{
 		requests: c("requests_total"), retries: c("retries_total"), budgetOut: c("retry_budget_refused_total"),
@@ -134,7 +160,7 @@
 
 // SetSeeds takes the seed addresses of a settings file that has changed.
 func (p *Plane) SetSeeds(seeds []string) {
-	p.seeds.Store(&seeds)
+	p.line.SetSeeds(seeds)
 	p.log.Info("settings read again", "seeds", fmt.Sprint(seeds))
 }
 
@@ -143,15 +169,26 @@
 // Ready tells whether this node wants new connections.
 func (p *Plane) Ready() bool { return !p.stopping.Load() && p.routing.Load() != nil }
 
+// regionOf gives the dense index of a zone's region; -1 is unknown.
+func (p *Plane) regionOf(zone string) int {
+	if r, ok := p.region[p.set.Zones[zone]]; ok {
+		return r
+	}
+	return -1
+}
+
 func (p *Plane) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
 		s = &service{
 			name: name, shelves: map[*balance.Endpoint]*shelf{}, recent: map[string]int{},
-			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.6}),
+			pool:   balance.NewPool(balance.Config{Zone: p.set.Zone, EjectBase: p.timing.EjectBase, EjectMost: p.timing.EjectMost, Bias: 0.6, Region: p.here, RegionBias: 1.5}),
 			share:  balance.NewAdmission(8 * p.timing.Silence / 3),
 			budget: balance.NewBudget(p.set.Bounds.RetryBudgetRatio*0.95, 1),
 		}
+		for zone, z := range p.zones {
+			s.pool.SetZone(zone, z)
+		}
 		p.services[name] = s
 	}
 	return s
@@ -189,6 +226,11 @@
 			p.takeObject(o, false)
 		}
 	}
+	for zone := range p.zones {
+		if !have[rack.EvacPrefix+zone] {
+			p.setZone(zone, balance.Used)
+		}
+	}
 	// Last, so that no request meets routes without endpoints.
 	if o, ok := p.mirror.Objects()[rack.ConfigKey]; ok {
 		p.takeConfig(o)
@@ -226,6 +268,14 @@
 		p.takeConfig(o)
 		return
 	}
+	if zone, ok := strings.CutPrefix(o.Key, rack.EvacPrefix); ok {
+		z := balance.Emptied
+		if string(o.Value) == rack.Returning {
+			z = balance.Back
+		}
+		p.setZone(zone, z)
+		return
+	}
 	e, err := rack.DecodeEndpoint(o)
 	if err != nil {
 		p.log.Error("endpoint cannot be read", "key", o.Key, "error", err)
@@ -237,7 +287,7 @@
 	}
 	s := p.service(e.Service)
 	s.mu.Lock()
-	ep := s.pool.Set(p.now(), balance.Spec{ID: e.ID, Address: e.Address, Zone: e.Zone, Capacity: e.Capacity, Draining: e.Draining}, cold)
+	ep := s.pool.Set(p.now(), balance.Spec{ID: e.ID, Address: e.Address, Zone: e.Zone, Capacity: e.Capacity, Draining: e.Draining, Cold: e.Cold, Region: p.regionOf(e.Zone)}, cold)
 	sh := s.shelves[ep]
 	if sh == nil {
 		sh = new(shelf)
@@ -249,18 +299,39 @@
 	}
 }
 
-func (p *Plane) takeEvent(e rack.Event) {
-	if !p.mirror.Apply(e) {
-		return
+// setZone takes how a zone is used.
+func (p *Plane) setZone(zone string, z balance.Zone) {
+	if z == balance.Used {
+		delete(p.zones, zone)
+	} else {
+		p.zones[zone] = z
+	}
+	for _, s := range p.services {
+		s.mu.Lock()
+		s.pool.SetZone(zone, z)
+		s.mu.Unlock()
+	}
+	p.log.Info("zone changes its use", "zone", zone, "use", z)
+}
+
+func (p *Plane) takeEvent(e rack.Event) error {
+	changed, err := p.mirror.Apply(e)
+	if err != nil || !changed {
+		return err
 	}
 	if e.Type != rack.Deleted {
-		p.takeObject(e.Object, true)
-		return
+		p.takeObject(p.mirror.Objects()[e.Object.Key], true)
+		return nil
 	}
-	id := e.Object.Key[len(rack.EndpointPrefix):]
-	for _, s := range p.services {
-		s.remove(id)
+	if zone, ok := strings.CutPrefix(e.Object.Key, rack.EvacPrefix); ok {
+		p.setZone(zone, balance.Used)
 	}
+	if id, ok := strings.CutPrefix(e.Object.Key, rack.EndpointPrefix); ok {
+		for _, s := range p.services {
+			s.remove(id)
+		}
+	}
+	return nil
 }
 
 // takeConfig compiles a configuration and puts it in force, whole.
@@ -290,6 +361,7 @@
 		p.share(s)
 		s.mu.Lock()
 		s.pool.SetConnections(int(cl.MaxConnections))
+		s.pool.SetColdRate(cl.ColdRateS)
 		s.mu.Unlock()
 		r.services = append(r.services, s)
 	}
@@ -302,6 +374,7 @@
 			}
 		}
 		r.routes = append(r.routes, st)
+		r.homes = append(r.homes, p.homes(rt.Regions))
 	}
 	p.routing.Store(r)
 	if old == nil {
@@ -311,6 +384,21 @@
 	p.log.Info("configuration in force", "version", c.Version)
 }
 
+// homes gives the regions that may serve a route as bits. Regions that no zone
+// belongs to have none, so that a route at home nowhere else is served nowhere.
+func (p *Plane) homes(regions []string) uint64 {
+	if len(regions) == 0 {
+		return 0
+	}
+	mask := uint64(1) << 63
+	for _, r := range regions {
+		if i, known := p.region[r]; known {
+			mask |= 1 << min(i, 62)
+		}
+	}
+	return mask
+}
+
 // sweep closes idle connections whose time is up.
 func (p *Plane) sweep(services []*service) {
 	now := time.Now()
@@ -427,19 +515,74 @@
 	}
 }
 
-// report gives what this node asks of each service, for the sum over all.
-func (p *Plane) report(span time.Duration) map[string]balance.Load {
+// inZone names the load of a service in one zone.
+func inZone(service, zone string) string { return service + "\x00" + zone }
+
+// report gives what this node asks of each service, for the sum over all; with
+// more than one region, for each zone as well.
+func (p *Plane) report(span time.Duration) *dowel.Report {
 	out := map[string]balance.Load{}
 	for name, s := range p.services {
 		s.mu.Lock()
 		_, inflight := s.pool.Slots(p.now())
-		s.share.Observe(balance.Load{Rate: float64(s.arrived) / span.Seconds(), Inflight: float64(inflight)})
-		s.arrived = 0
-		clear(s.recent)
+		if span > p.timing.Silence/3 { // else too short to tell a rate
+			s.share.Observe(balance.Load{Rate: float64(s.arrived) / span.Seconds(), Inflight: float64(inflight)})
+			s.arrived = 0
+			clear(s.recent)
+		}
 		out[name] = s.share.Own()
+		if len(p.region) > 1 {
+			for _, e := range s.pool.Endpoints() {
+				if n := e.Inflight(); n > 0 {
+					key := inZone(name, e.Zone)
+					out[key] = out[key].Add(balance.Load{Inflight: float64(n)})
+				}
+			}
+		}
 		s.mu.Unlock()
 	}
-	return out
+	p.seq++
+	now := p.now()
+	p.sentAt[p.seq] = now
+	for seq, at := range p.sentAt {
+		if now-at > p.timing.Grant {
+			delete(p.sentAt, seq)
+		}
+	}
+	return &dowel.Report{Seq: p.seq, Loads: out, Self: p.self()}
+}
+
+// self is this node's entry in the registry, where clients find proxies there.
+func (p *Plane) self() *rack.Proxy {
+	if p.set.Entry != caliper.EntryDirectory || (!p.Ready() && !p.stopping.Load()) {
+		return nil
+	}
+	return &rack.Proxy{Name: p.set.NodeName, Address: p.set.Listen.Frontend, Zone: p.set.Zone, Leaving: p.stopping.Load()}
+}
+
+// leave tells the control plane at once that this node ends.
+func (p *Plane) leave() {
+	p.stopping.Store(true)
+	if c, self := p.stream.Load(), p.self(); c != nil && self != nil {
+		_ = c.Send(&dowel.Frame{Report: &dowel.Report{Self: self}}) // the next report tells it again
+	}
+}
+
+// granted takes this node's shares of cold endpoints. They hold from when the
+// report went out that they answer.
+func (p *Plane) granted(r *dowel.Round) {
+	sent, ok := p.sentAt[r.Seq]
+	if !ok {
+		return
+	}
+	now := p.now()
+	for _, g := range r.Grants {
+		for _, s := range p.services {
+			s.mu.Lock()
+			s.pool.Grant(now, g, sent+p.timing.Grant)
+			s.mu.Unlock()
+		}
+	}
 }
 
 // told takes the sums over all proxy nodes.
@@ -452,4 +595,16 @@
 			s.mu.Unlock()
 		}
 	}
+	if len(p.region) < 2 {
+		return
+	}
+	for name, s := range p.services {
+		inflight := map[string]float64{}
+		for zone := range p.set.Zones {
+			inflight[zone] = loads[inZone(name, zone)].Inflight
+		}
+		s.mu.Lock()
+		s.pool.SetLoads(inflight)
+		s.mu.Unlock()
+	}
 }
--- a/internal/plane/server.go
+++ b/internal/plane/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lichentray/internal/caliper"
 	"lichentray/internal/hatch"
 	"lichentray/jig"
 )
@@ -154,10 +155,15 @@
 // Stop ends in order: not ready at once, no kept connections, and out once all
 // that was read is answered, within grace.
 func (f *Front) Stop(grace time.Duration) {
-	f.p.stopping.Store(true)
+	f.p.leave()
 	end := time.Now().Add(grace * 9 / 10)
-	// The platform needs two missed calls to hand out no new connections.
-	time.Sleep(grace * 2 / 5)
+	// The platform needs two missed calls to hand out no new connections; those
+	// whom the directory sent here may hold its answer for three times its time.
+	wait := grace * 2 / 5
+	if f.p.set.Entry == caliper.EntryDirectory {
+		wait = grace * 3 / 5
+	}
+	time.Sleep(wait)
 	f.ln.Close()
 	<-f.done
 	for f.endIdle() > 0 && time.Now().Before(end) {
--- a/jig/jig.go
+++ b/jig/jig.go
@@ -73,6 +73,7 @@
 	Idempotent    RouteType = "idempotent"
 	NonIdempotent RouteType = "non_idempotent"
 	Download      RouteType = "download"
+	Upload        RouteType = "upload"
 )
 
 // Share is one service of a split.
@@ -95,6 +96,9 @@
 		Split       []Share `json:"traffic_split"`
 		TimeoutS    float64 `json:"timeout_s"`
 		MaxAttempts float64 `json:"max_attempts"`
+		// Regions are the route's homes: no endpoint elsewhere serves it. None
+		// means that any may.
+		Regions []string `json:"allowed_regions"`
 	} `json:"action"`
 }
 
@@ -109,6 +113,8 @@
 	Name           string  `json:"name"`
 	HealthPath     string  `json:"health_check_path"`
 	MaxConnections float64 `json:"max_connections"`
+	ColdStartS     float64 `json:"cold_start_s"`
+	ColdRateS      float64 `json:"cold_rate_s"`
 }
 
 // Limits bound what a client may send and how long it may take.
@@ -199,6 +205,7 @@
 	Aim         time.Duration
 	Timeout     time.Duration
 	MaxAttempts int
+	Regions     []string
 	Targets     []Target
 	total       float64
 }
@@ -249,7 +256,7 @@
 		for _, x := range l.Rules {
 			r := &Route{
 				Index: len(t.Routes), Name: x.Name, Prefix: x.Match.Prefix, Type: x.Type,
-				Repeatable: x.Type != NonIdempotent, Priority: int(x.Priority),
+				Repeatable: x.Type != NonIdempotent && x.Type != Upload, Priority: int(x.Priority), Regions: x.Action.Regions,
 				Aim: seconds(x.TargetS), Timeout: seconds(x.Action.TimeoutS), MaxAttempts: int(x.Action.MaxAttempts),
 			}
 			split := x.Action.Split
@@ -285,6 +292,12 @@
 	return -1
 }
 
+// HasHost tells whether any route stands under a host.
+func (t *Table) HasHost(host string) bool {
+	_, ok := t.hosts[strings.ToLower(host)]
+	return ok
+}
+
 // Match finds the route with the longest prefix of path on a host, or nil.
 func (t *Table) Match(host, path []byte) *Route {
 	if i := bytes.LastIndexByte(host, ':'); i >= 0 && bytes.IndexByte(host[i:], ']') < 0 {
--- a/rack/codec.go
+++ b/rack/codec.go
@@ -13,6 +13,9 @@
 const (
 	codeTxn   = 1
 	codeLatch = 2
+
+	writeDelete = 1
+	writePatch  = 2
 )
 
 var errShort = errors.New("rack: command is cut short or of an unknown form")
@@ -50,11 +53,14 @@
 	b = binary.AppendUvarint(b, uint64(len(c.Txn.Then)))
 	for _, x := range c.Txn.Then {
 		b = putBytes(b, []byte(x.Key))
-		del := uint64(0)
+		how := uint64(0)
 		if x.Delete {
-			del = 1
+			how |= writeDelete
+		}
+		if x.Patch {
+			how |= writePatch
 		}
-		b = binary.AppendUvarint(b, del)
+		b = binary.AppendUvarint(b, how)
 		b = putBytes(b, x.Value)
 	}
 	return b
@@ -119,7 +125,10 @@
 			t.If = append(t.If, Condition{Key: string(r.bytes()), ModRevision: r.num()})
 		}
 		for i, n := 0, r.count(); i < n && !r.bad; i++ {
-			w := Write{Key: string(r.bytes()), Delete: r.num() == 1}
+			w := Write{Key: string(r.bytes())}
+			how := r.num()
+			r.bad = r.bad || how > writeDelete|writePatch
+			w.Delete, w.Patch = how&writeDelete != 0, how&writePatch != 0
 			w.Value = r.bytes()
 			t.Then = append(t.Then, w)
 		}
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -33,11 +33,13 @@
 	ModRevision uint64
 }
 
-// Write puts or deletes one key.
+// Write puts or deletes one key. With Patch, Value is a delta against the
+// object's present value; the transaction must ask for its revision.
 type Write struct {
 	Key    string
 	Value  []byte
 	Delete bool
+	Patch  bool
 }
 
 // Txn carries out all its writes if all its conditions hold, else none.
@@ -53,7 +55,7 @@
 }
 
 // Result is what a command gave. On Conflict nothing was written and Current
-// holds the objects that stood in the way.
+// names the objects that stood in the way, without their values.
 type Result struct {
 	Revision uint64
 	Conflict bool
@@ -71,11 +73,15 @@
 	Deleted
 )
 
-// Event is one change to one object at one global revision.
+// Event is one change to one object at one global revision. With Patch, the
+// value may be left out and be made from the one that the object had at the
+// revision Base.
 type Event struct {
 	Type     EventType
 	Object   Object
 	Revision uint64
+	Patch    []byte
+	Base     uint64
 }
 
 // Store is the state machine.
@@ -132,10 +138,19 @@
 		if o.ModRevision != cond.ModRevision {
 			conflict = true
 			if o.ModRevision != 0 {
+				o.Value = nil
 				blocked = append(blocked, o)
 			}
 		}
 	}
+	whole := map[string][]byte{} // of the patches
+	for _, w := range c.Txn.Then {
+		if w.Patch && !conflict {
+			v, err := Patch(s.objects[w.Key].Value, w.Value)
+			whole[w.Key] = v
+			conflict = err != nil
+		}
+	}
 	if conflict {
 		return Result{Revision: s.revision, Conflict: true, Current: blocked}, nil
 	}
@@ -150,13 +165,16 @@
 			}
 			continue
 		}
-		o := Object{Key: w.Key, Value: w.Value, CreateRevision: old.CreateRevision, ModRevision: s.revision}
-		typ := Modified
+		e := Event{Type: Modified, Revision: s.revision}
+		e.Object = Object{Key: w.Key, Value: w.Value, CreateRevision: old.CreateRevision, ModRevision: s.revision}
 		if !had {
-			o.CreateRevision, typ = s.revision, Added
+			e.Object.CreateRevision, e.Type = s.revision, Added
+		}
+		if w.Patch {
+			e.Object.Value, e.Patch, e.Base = whole[w.Key], w.Value, old.ModRevision
 		}
-		s.objects[w.Key] = o
-		events = append(events, Event{Type: typ, Object: o, Revision: s.revision})
+		s.objects[w.Key] = e.Object
+		events = append(events, e)
 	}
 	return Result{Revision: s.revision}, events
 }
@@ -194,9 +212,18 @@
 const (
 	EndpointPrefix = "endpoints/"
 	DepartedPrefix = "departed/"
+	ProxyPrefix    = "proxies/"
+	EvacPrefix     = "evacuations/"
 	ConfigKey      = "configuration/current"
 )
 
+// The states of a zone's evacuation, the value under EvacPrefix + the zone.
+// While it returns, its endpoints count as cold until their beats have told.
+const (
+	Evacuated = "evacuated"
+	Returning = "returning"
+)
+
 // EncodeConfig writes a configuration as the value under ConfigKey: its version
 // before its text, so that the version is read without the text.
 func EncodeConfig(version uint64, text []byte) []byte {
@@ -221,6 +248,36 @@
 	Draining bool    `json:"draining,omitempty"`
 	Sequence uint64  `json:"sequence"`
 	ColdS    float64 `json:"cold_s,omitempty"`
+	// Cold stands from the beat that tells of it to the one that no longer does,
+	// where the service bounds what a cold endpoint gets.
+	Cold bool `json:"cold,omitempty"`
+}
+
+// Proxy is one proxy node, as kept under ProxyPrefix + its name where clients
+// find proxies through the directory.
+type Proxy struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Key is where the proxy stands.
+func (p Proxy) Key() string { return ProxyPrefix + p.Name }
+
+// Encode writes the proxy as an object's value.
+func (p Proxy) Encode() []byte {
+	b, _ := json.Marshal(p) // a struct of plain fields always encodes
+	return b
+}
+
+// DecodeProxy reads an object's value.
+func DecodeProxy(o Object) (Proxy, error) {
+	var p Proxy
+	if err := json.Unmarshal(o.Value, &p); err != nil {
+		return p, fmt.Errorf("rack: proxy %s: %w", o.Key, err)
+	}
+	return p, nil
 }
 
 // Key is where the endpoint stands.
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -55,15 +55,18 @@
 func (c *Cacher) Append(now time.Duration, revision uint64, events []rack.Event) {
 	c.revision = revision
 	for _, e := range events {
+		if e.Patch != nil {
+			e.Object.Value = nil // whoever holds the base makes it
+		}
 		c.slots = append(c.slots, slot{e, now})
-		c.bytes += len(e.Object.Value)
+		c.bytes += size(e)
 	}
 	n := 0
 	// A write's events leave the window together.
 	for n < len(c.slots) && (now-c.slots[n].at > c.window || len(c.slots)-n > c.most || c.bytes > c.mostByte ||
 		(n > 0 && c.slots[n].event.Revision == c.floor)) {
 		c.floor = c.slots[n].event.Revision
-		c.bytes -= len(c.slots[n].event.Object.Value)
+		c.bytes -= size(c.slots[n].event)
 		n++
 	}
 	if n > 0 {
@@ -71,6 +74,8 @@
 	}
 }
 
+func size(e rack.Event) int { return len(e.Object.Value) + len(e.Patch) }
+
 // Revision is the newest revision known.
 func (c *Cacher) Revision() uint64 { return c.revision }
 
@@ -116,7 +121,7 @@
 
 // Reset takes a list at a revision. A list older than the copy is refused.
 func (m *Mirror) Reset(revision uint64, objects []rack.Object) error {
-	if m.listed && revision < m.revision {
+	if revision < m.revision {
 		return ErrAhead
 	}
 	fresh := make(map[string]rack.Object, len(objects))
@@ -127,10 +132,27 @@
 	return nil
 }
 
-// Apply takes one event; one that is already contained changes nothing.
-func (m *Mirror) Apply(e rack.Event) (changed bool) {
+// ErrBase says that a change was made against a value that this copy does not
+// hold: list again.
+var ErrBase = errors.New("spool: change does not fit the copy")
+
+// Apply takes one event; one that is already contained changes nothing. On an
+// error the copy is unchanged and must be listed anew.
+func (m *Mirror) Apply(e rack.Event) (changed bool, err error) {
 	if e.Revision < m.revision {
-		return false
+		return false, nil
+	}
+	if e.Patch != nil && e.Type != rack.Deleted {
+		old := m.objects[e.Object.Key]
+		if old.ModRevision >= e.Revision {
+			return false, nil
+		}
+		if old.ModRevision != e.Base {
+			return false, ErrBase
+		}
+		if e.Object.Value, err = rack.Patch(old.Value, e.Patch); err != nil {
+			return false, ErrBase
+		}
 	}
 	m.revision = e.Revision
 	if e.Type == rack.Deleted {
@@ -138,9 +160,12 @@
 	} else {
 		m.objects[e.Object.Key] = e.Object
 	}
-	return true
+	return true, nil
 }
 
+// Forget makes the copy ask for a list again; what it holds stays in use.
+func (m *Mirror) Forget() { m.listed = false }
+
 // Bookmark moves the copy's revision forward without a change.
 func (m *Mirror) Bookmark(revision uint64) {
 	if revision > m.revision {
--- a/spool/spool_test.go
+++ b/spool/spool_test.go
@@ -27,7 +27,12 @@
 			if r.Intn(3) > 0 {
 				txn := &rack.Txn{}
 				for range 1 + r.Intn(2) {
-					txn.Then = append(txn.Then, rack.Write{Key: fmt.Sprint("k", r.Intn(6)), Value: []byte(fmt.Sprint(step)), Delete: r.Intn(4) == 0})
+					k := fmt.Sprint("k", r.Intn(6))
+					w := rack.Write{Key: k, Value: []byte(fmt.Sprint(step)), Delete: r.Intn(4) == 0}
+					if o, had := s.Get(k); had && !w.Delete && len(txn.Then) == 0 && r.Intn(2) == 0 {
+						w.Value, w.Patch = rack.Delta(o.Value, w.Value), true
+					}
+					txn.Then = append(txn.Then, w)
 				}
 				_, ev := s.Apply(rack.Command{Txn: txn})
 				c.Append(now, s.Revision(), ev)
@@ -58,7 +63,9 @@
 					break
 				}
 				for _, e := range events {
-					m.Apply(e)
+					if _, err := m.Apply(e); err != nil {
+						t.Fatal(err)
+					}
 				}
 			}
 			want := map[string]rack.Object{}
@@ -103,7 +110,7 @@
 	write("b")
 	events, _ := c.Since(m.Revision(), 10) // watch from N+1
 	for _, e := range events {
-		m.Apply(e)
+		_, _ = m.Apply(e) // the copy holds the base
 	}
 	fmt.Println(m.Revision(), len(m.Objects()))
 	// Output: 2 2
