--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,10 @@
 // and every random number come in as arguments.
 package balance
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Spec is what the registry says of one endpoint.
 type Spec struct {
@@ -19,6 +22,7 @@
 // Endpoint is one endpoint's state as this node sees it.
 type Endpoint struct {
 	Spec
+	tier     int     // 0 in this zone, 1 in this region, 2 elsewhere
 	far      float64 // what its distance adds to its cost
 	crowd    float64 // what the load of its zone adds
 	off      bool    // its zone is evacuated
@@ -27,6 +31,8 @@
 	inflight int
 	// slow is the learned time of an answer over what its route usually takes.
 	slow    float64
+	seen    Seen // since the last report
+	sick    bool // all nodes together say so
 	samples int
 	fails   int
 	until   time.Duration // ejected until
@@ -70,6 +76,9 @@
 	connections int
 	coldRate    float64         // what a cold endpoint bears a second; 0: any load
 	zones       map[string]Zone // those that are not in ordinary use
+	tiers       [3]tier         // of the pick under way
+	judged      time.Duration   // until then the verdicts of all nodes hold
+	lean        float64         // towards the faster endpoints, 0 to 1
 }
 
 // Zone is how a zone is used. The zero value is ordinary use.
@@ -138,7 +147,13 @@
 func (p *Pool) SetConnections(n int) { p.connections = n }
 
 // Busy notes that an endpoint turned a request away because it is full.
-func (p *Pool) Busy(now time.Duration, e *Endpoint) { e.busy = now + p.cfg.EjectBase/8 }
+func (p *Pool) Busy(now time.Duration, e *Endpoint) {
+	e.busy = now + p.cfg.EjectBase/8
+	e.seen = e.seen.Add(Seen{Answers: 1, Times: fullPace})
+}
+
+// fullPace is what a request that was turned away counts as.
+const fullPace = 3
 
 // Endpoints gives the present endpoints.
 func (p *Pool) Endpoints() []*Endpoint { return p.all }
@@ -168,11 +183,11 @@
 		p.all = append(p.all, e)
 	}
 	e.Spec = s
-	e.far = 0
+	e.far, e.tier = 0, 0
 	if s.Zone != p.cfg.Zone {
-		e.far = p.cfg.Bias
+		e.far, e.tier = p.cfg.Bias, 1
 		if s.Region != p.cfg.Region {
-			e.far = p.cfg.RegionBias
+			e.far, e.tier = p.cfg.RegionBias, 2
 		}
 	}
 	e.off, e.back = p.zones[s.Zone] == Emptied, p.zones[s.Zone] == Back
@@ -203,30 +218,58 @@
 // answer's time.
 func (p *Pool) cost(now time.Duration, e *Endpoint) float64 {
 	in := float64(e.inflight)
-	c := e.slow * (1 + in*in/float64(e.Capacity))
-	if now < e.cold {
-		c *= 2
+	return p.pace(now, e)*(1+in*in/float64(e.Capacity)) + e.far + e.crowd
+}
+
+// pace is how long an endpoint takes over what is usual.
+func (p *Pool) pace(now time.Duration, e *Endpoint) float64 {
+	if now < e.cold || e.Cold || e.back {
+		return 2 * e.slow
 	}
-	return c + e.far + e.crowd
+	return e.slow
 }
 
 // metered tells whether the endpoint gets only what is granted.
 func (p *Pool) metered(e *Endpoint) bool { return p.coldRate > 0 && (e.Cold || e.back) }
 
+// tier is the endpoints at one distance that can take a request. weight sums
+// up to and with each of them.
+type tier struct {
+	of     []*Endpoint
+	weight []float64
+}
+
+func (t *tier) add(e *Endpoint, w float64) {
+	if n := len(t.weight); n > 0 {
+		w += t.weight[n-1]
+	}
+	t.of, t.weight = append(t.of, e), append(t.weight, w)
+}
+
+// draw gives one endpoint by weight.
+func (t *tier) draw(rnd func() float64) *Endpoint {
+	x := rnd() * t.weight[len(t.weight)-1]
+	return t.of[min(sort.SearchFloat64s(t.weight, x), len(t.of)-1)]
+}
+
 // Pick chooses an endpoint and counts the request as out to it. skip keeps out
 // those already tried. Nil means that none can take a request.
+//
+// With many nodes, what one of them has at an endpoint says little of how full
+// it is, and all would crowd the endpoints that are fastest. So each distance
+// (this zone, this region, elsewhere) offers the emptier of two endpoints drawn
+// by their pace and capacity, and the cheapest of these is taken.
 func (p *Pool) Pick(now time.Duration, rnd func() float64, skip func(*Endpoint) bool) *Endpoint {
 	var best, back *Endpoint
-	bestCost := 0.0
+	for i := range p.tiers {
+		p.tiers[i].of, p.tiers[i].weight = p.tiers[i].of[:0], p.tiers[i].weight[:0]
+	}
 	for _, e := range p.all {
 		if e.shut() || (skip != nil && skip(e)) || (p.metered(e) && !e.meter.ready(now)) {
 			continue
 		}
 		if e.fails > 0 {
-			if now < e.until || e.trial {
-				continue
-			}
-			if back == nil {
+			if now >= e.until && !e.trial && back == nil {
 				back = e
 			}
 			continue
@@ -234,9 +277,24 @@
 		if now < e.busy || e.inflight >= p.cap(e) {
 			continue
 		}
-		// Noise keeps nodes that think alike from choosing alike.
-		c := p.cost(now, e) * (0.85 + 0.3*rnd())
-		if best == nil || c < bestCost {
+		pace := p.pace(now, e)
+		w := float64(e.Capacity) / pace * (1 + p.lean*(1/(pace*pace)-1))
+		if e.sick {
+			w *= sickWeight
+		}
+		p.tiers[e.tier].add(e, w)
+	}
+	bestCost := 0.0
+	for i := range p.tiers {
+		t := &p.tiers[i]
+		if len(t.of) == 0 {
+			continue
+		}
+		e := t.draw(rnd)
+		if other := t.draw(rnd); other.inflight*e.Capacity < e.inflight*other.Capacity {
+			e = other
+		}
+		if c := p.cost(now, e); best == nil || c < bestCost {
 			best, bestCost = e, c
 		}
 	}
@@ -256,6 +314,10 @@
 	return best
 }
 
+// sickWeight leaves an ill endpoint the few requests by which all nodes together
+// notice that it is well again.
+const sickWeight = 0.03
+
 // last is the choice when every endpoint is ejected: the one whose time is up
 // first, so that a service whose endpoints all failed once is tried again.
 func (p *Pool) last(now time.Duration, skip func(*Endpoint) bool) *Endpoint {
@@ -289,13 +351,17 @@
 	e.inflight--
 	e.trial = false
 	if !ok {
+		e.seen.Bad++
 		e.fails++
 		wait := p.cfg.EjectBase << min(e.fails-1, 6)
 		e.until = now + min(wait, p.cfg.EjectMost)
 		return
 	}
 	e.fails = 0
-	if took > 0 && now >= e.cold {
+	if took > 0 {
+		e.seen = e.seen.Add(Seen{Answers: 1, Times: min(took, 8)})
+	}
+	if took > 0 && now >= e.cold && now >= p.judged {
 		e.samples++
 		a := max(0.06, 1/float64(e.samples+4))
 		e.slow += a * (min(took, 4) - e.slow)
--- a/balance/grant.go
+++ b/balance/grant.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"hash/fnv"
 	"sort"
 	"time"
 )
@@ -102,15 +101,7 @@
 	}
 	all := make([]ranked, len(nodes))
 	for i, node := range nodes {
-		h := fnv.New64a()
-		h.Write([]byte(id))
-		h.Write([]byte{0})
-		h.Write([]byte(node))
-		x := h.Sum64()
-		x ^= x >> 33 // names that differ in their end alone must not rank alike
-		x *= 0xff51afd7ed558ccd
-		x ^= x >> 33
-		all[i] = ranked{node, x}
+		all[i] = ranked{node, hash64(id, node)}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].weight > all[j].weight })
 	out := make([]string, 0, n)
--- a/cmd/vise/relay.go
+++ b/cmd/vise/relay.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"runtime"
@@ -16,24 +18,30 @@
 	"lichentray/internal/dial"
 	"lichentray/internal/dowel"
 	"lichentray/internal/hatch"
+	"lichentray/internal/notch"
 	"lichentray/internal/plumb"
 )
 
 // relay is a control-plane node on a machine without a disk beside a core that
-// has disks: it holds nothing and sends callers on to a core node that is in
-// touch.
+// has disks: it holds nothing and passes calls on to a core node that is in
+// touch, the nearest if it can.
 type relay struct {
 	line *plumb.Line
-	to   atomic.Pointer[string] // the core node's API address; nil: none in touch
-	sent *dial.Counter
-	lost *dial.Counter
+	to   atomic.Pointer[fasthttp.HostClient] // nil: no core node is in touch
+	// wait bounds an ordinary call, poll a watch.
+	wait, poll           time.Duration
+	passed, lost, failed *dial.Counter
 }
 
 func runRelay(set *caliper.Settings, log *slog.Logger, sig *daemon.Signals) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(50)
 	board := dial.NewBoard()
-	r := &relay{line: plumb.New(set), sent: board.Counter("redirects_total"), lost: board.Counter("redirects_without_target_total")}
+	b := set.Bounds
+	r := &relay{
+		line: plumb.New(set), wait: b.Contact.D(), poll: b.HistoryRetention.D() + b.Contact.D(),
+		passed: board.Counter("relayed_total"), lost: board.Counter("relayed_without_target_total"), failed: board.Counter("relayed_unclear_total"),
+	}
 	ln, err := net.Listen("tcp4", set.Listen.Control)
 	if err != nil {
 		return err
@@ -100,9 +108,22 @@
 		}
 		if !held {
 			held = true
-			log.Info("sending callers on", "to", api)
+			log.Info("passing calls on", "to", api)
+			c := &fasthttp.HostClient{
+				Addr: api, MaxIdemponentCallAttempts: 1, RetryIfErr: never, MaxConns: 1000, ReadTimeout: r.poll,
+				NoDefaultUserAgentHeader: true, DisableHeaderNamesNormalizing: true, DisablePathNormalizing: true,
+				Dial: func(addr string) (net.Conn, error) {
+					c, err := net.DialTimeout("tcp4", addr, silence/2)
+					if err != nil {
+						return nil, errors.Join(errDial, err)
+					}
+					dowel.SetSilence(c, silence)
+					return c, nil
+				},
+			}
+			defer c.CloseIdleConnections()
+			r.to.Store(c)
 		}
-		r.to.Store(&api)
 		if r.line.Nearer(addr) && time.Since(began) > set.Bounds.Contact.D() {
 			return false
 		}
@@ -123,14 +144,29 @@
 		to := r.to.Load()
 		if to == nil {
 			r.lost.Inc()
-			ctx.SetStatusCode(503)
-			ctx.Response.Header.Set("Retry-After", "0.2")
-		} else {
-			r.sent.Inc()
-			ctx.SetStatusCode(307)
-			ctx.Response.Header.Set("Location", "http://"+*to+string(ctx.RequestURI()))
+			hatch.Fail(ctx, notch.New(notch.Unavailable, "no core node is in touch"))
+			return
+		}
+		wait := r.wait
+		if bytes.HasPrefix(ctx.Path(), []byte("/api/watch/")) {
+			wait = r.poll
+		}
+		err := to.DoTimeout(&ctx.Request, &ctx.Response, wait)
+		ctx.Response.Header.Del("Connection")
+		switch {
+		case err == nil:
+			r.passed.Inc()
+		case errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns):
+			r.lost.Inc()
+			hatch.Fail(ctx, notch.New(notch.Unavailable, "core node cannot be reached"))
+		default:
+			r.failed.Inc()
+			hatch.Fail(ctx, notch.New(notch.Unknown, "core node did not answer"))
 		}
-		ctx.SetContentType("application/json")
-		ctx.SetBodyString("{}")
 	}
 }
+
+var errDial = errors.New("not connected")
+
+// never: a call that may have arrived is not sent again.
+func never(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -91,6 +91,8 @@
 	Proxies  int
 	Loads    map[string]balance.Load // by service, over all proxies
 	Round    *Round
+	Judged   bool // Verdicts are told
+	Verdicts []balance.Verdict
 }
 
 // Report is what a proxy tells now and then. Its sequence dates the shares that
@@ -98,7 +100,8 @@
 type Report struct {
 	Seq   uint64
 	Loads map[string]balance.Load
-	Self  *rack.Proxy // its entry in the registry, where proxies are members
+	Seen  map[string]balance.Seen // by endpoint, since the last report
+	Self  *rack.Proxy             // its entry in the registry, where proxies are members
 }
 
 // Round is what the leader granted one proxy, in answer to the report Seq.
@@ -128,7 +131,10 @@
 	Here   map[string]uint64 // by name, the newest report's sequence
 	Sum    int
 	Loads  map[string]balance.Load
-	Rounds map[string]Round // by proxy
+	Seen   map[string]balance.Seen // to the leader
+	Rounds map[string]Round        // by proxy
+	// Verdicts are the leader's on all endpoints.
+	Verdicts []balance.Verdict
 }
 
 // Frames from packFrom bytes on are compressed; packedBit in the length tells.
--- a/internal/hatch/directory.go
+++ b/internal/hatch/directory.go
@@ -12,7 +12,7 @@
 
 // Resolver is what the directory needs of the control-plane node.
 type Resolver interface {
-	Resolve(host, region, zone string) (addresses []string, ttl time.Duration, err error)
+	Resolve(client, host, region, zone string) (addresses []string, ttl time.Duration, err error)
 }
 
 // Directory tells clients which proxy nodes to go to.
@@ -30,9 +30,12 @@
 	what := "ok"
 	if err != nil {
 		what = notch.Of(err).String()
-		answer = fail(ctx, err)
+		Fail(ctx, err)
 	}
 	d.board.Counter("resolves_total", "answer", what).Inc()
+	if err != nil {
+		return
+	}
 	b, err := json.Marshal(answer)
 	if err != nil {
 		ctx.SetStatusCode(500)
@@ -59,7 +62,7 @@
 			return nil, notch.New(notch.BadRequest, "%s: too long or given twice", k)
 		}
 	}
-	addrs, ttl, err := d.node.Resolve(name, string(q.Peek("region")), string(q.Peek("zone")))
+	addrs, ttl, err := d.node.Resolve(ctx.RemoteIP().String(), name, string(q.Peek("region")), string(q.Peek("zone")))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/hatch/hatch.go
+++ b/internal/hatch/hatch.go
@@ -62,13 +62,14 @@
 func (a *API) Serve(ctx *fasthttp.RequestCtx) {
 	call, answer, err := a.call(ctx)
 	if err != nil {
-		if body := fail(ctx, err); answer == nil {
-			answer = body
-		}
+		Fail(ctx, err)
 		a.board.Counter("calls_total", "call", call, "answer", notch.Of(err).String()).Inc()
 	} else {
 		a.board.Counter("calls_total", "call", call, "answer", "ok").Inc()
 	}
+	if err != nil && answer == nil {
+		return
+	}
 	if raw, ok := answer.(text); ok {
 		ctx.SetContentType("text/plain; version=0.0.4")
 		ctx.SetBody(raw)
@@ -90,15 +91,17 @@
 	}
 }
 
-// fail sets the status of an error's kind and gives the body that tells of it.
-func fail(ctx *fasthttp.RequestCtx, err error) any {
+// Fail answers with an error, by its kind.
+func Fail(ctx *fasthttp.RequestCtx, err error) {
 	kind := notch.Of(err)
 	status := kind.Status()
 	ctx.SetStatusCode(status)
 	if status == 503 || status == 429 {
 		ctx.Response.Header.Set("Retry-After", "0.2")
 	}
-	return map[string]string{"error": kind.String(), "detail": err.Error()}
+	b, _ := json.Marshal(map[string]string{"error": kind.String(), "detail": err.Error()}) // strings always encode
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
 }
 
 type text []byte
--- a/internal/hatch/hatch_test.go
+++ b/internal/hatch/hatch_test.go
@@ -24,7 +24,7 @@
 func (n *node) Evacuations() (map[string]string, error) {
 	return map[string]string{"z": "evacuated"}, n.err
 }
-func (n *node) Resolve(host, region, zone string) ([]string, time.Duration, error) {
+func (n *node) Resolve(_, host, region, zone string) ([]string, time.Duration, error) {
 	return []string{host + "-" + region + "-" + zone}, 1250 * time.Millisecond, n.err
 }
 func (n *node) Beat(e rack.Endpoint) error     { n.got = e; return n.err }
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -106,7 +106,7 @@
 func (l *Lathe) countProxies(now time.Duration) {
 	loads := map[string]balance.Load{}
 	here := map[string]uint64{}
-	l.mu.RLock()
+	l.mu.Lock()
 	for s := range l.sessions {
 		if now-s.at > l.timing.Dead {
 			continue // frozen, most likely
@@ -114,9 +114,11 @@
 		here[s.node] = max(here[s.node], s.seq)
 		addLoads(loads, s.loads)
 	}
-	l.mu.RUnlock()
+	seen := l.seen
+	l.seen = map[string]balance.Seen{}
+	l.mu.Unlock()
 	if l.node.Role() != clamp.Leader {
-		l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Proxies: &dowel.ProxyCount{Here: here, Loads: loads}})
+		l.links.tell(l.links.addr(l.node.Leader()), &dowel.Frame{Proxies: &dowel.ProxyCount{Here: here, Loads: loads, Seen: seen}})
 		return
 	}
 	for name := range here {
@@ -133,11 +135,30 @@
 		addLoads(loads, c.loads)
 	}
 	rounds := l.share(now, here)
+	l.judge.See(seen)
+	verdicts := l.judge.Verdicts(now, l.byService())
 	l.mu.Lock()
-	l.sum, l.loads, l.rounds = len(here), loads, rounds
+	l.sum, l.loads, l.rounds, l.verdicts = len(here), loads, rounds, verdicts
 	l.mu.Unlock()
 	for _, m := range l.node.Members().All() {
-		l.links.tell(m.Addr, &dowel.Frame{Proxies: &dowel.ProxyCount{Sum: len(here), Loads: loads, Rounds: rounds}})
+		l.links.tell(m.Addr, &dowel.Frame{Proxies: &dowel.ProxyCount{Sum: len(here), Loads: loads, Rounds: rounds, Verdicts: verdicts}})
+	}
+}
+
+// byService lists the endpoints of each service.
+func (l *Lathe) byService() map[string][]string {
+	out := map[string][]string{}
+	for _, o := range l.store.List(rack.EndpointPrefix) {
+		if e, err := rack.DecodeEndpoint(o); err == nil {
+			out[e.Service] = append(out[e.Service], e.ID)
+		}
+	}
+	return out
+}
+
+func addSeen(to, from map[string]balance.Seen) {
+	for id, x := range from {
+		to[id] = to[id].Add(x)
 	}
 }
 
@@ -392,11 +413,9 @@
 		}
 		l.beats[e.ID] = l.now()
 		o, known := l.store.Get(e.Key())
-		e.Cold = false
-		if e.ColdS > 0 {
-			c, _ := l.cluster(e.Service)
-			e.Cold = c.ColdRateS > 0
-		}
+		// A node that has just started may not hold the configuration yet that
+		// bounds the service's cold endpoints, so all are marked.
+		e.Cold = e.ColdS > 0 && l.set.Bounds.ColdOvershoot > 0
 		if !known {
 			return &rack.Txn{
 				If:   []rack.Condition{{Key: e.Key()}, {Key: gone}},
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -107,6 +107,7 @@
 	proxies   map[string]time.Duration // when the leader last heard of each
 	returning map[string]mark          // since when a zone is being taken back
 	granter   *balance.Granter
+	judge     *balance.Judge
 
 	// Shared behind a short lock.
 	mu       sync.RWMutex
@@ -123,6 +124,8 @@
 	sum      int
 	loads    map[string]balance.Load // replaced whole
 	rounds   map[string]dowel.Round  // replaced whole
+	seen     map[string]balance.Seen // of endpoints, to be told to the leader
+	verdicts []balance.Verdict       // replaced whole
 	places   map[string]balance.Place
 	// The configuration compiled, and the revision that it had.
 	compiled   *jig.Table
@@ -178,6 +181,7 @@
 		pending: map[uint64]waiter{}, reads: map[uint64]chan outcome{},
 		alive: map[string]time.Duration{}, probing: map[string]bool{}, counts: map[uint64]proxyCount{},
 		proxies: map[string]time.Duration{}, returning: map[string]mark{}, places: map[string]balance.Place{},
+		seen:  map[string]balance.Seen{},
 		store: rack.New(), locks: map[string]lockTimer{},
 		wake: map[chan struct{}]struct{}{}, groups: map[string]map[chan struct{}]struct{}{},
 		applied: map[chan struct{}]uint64{}, sessions: map[*session]struct{}{}, beats: map[string]time.Duration{},
@@ -349,6 +353,7 @@
 			l.nElections.Inc()
 			l.alive, l.counts = map[string]time.Duration{}, map[uint64]proxyCount{}
 			l.proxies, l.returning = map[string]time.Duration{}, map[string]mark{}
+			l.judge = balance.NewJudge(l.timing.Dead / 2)
 			l.granter = balance.NewGranter(now, l.set.GrantLasts())
 			l.log.Info("leading", "term", n.Term())
 		} else if role != clamp.Leader && (l.role == clamp.Leader || leader != l.leader && leader != 0) {
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -313,12 +313,15 @@
 		if p := f.Proxies; p != nil {
 			if p.Sum > 0 {
 				l.mu.Lock()
-				l.sum, l.loads, l.rounds = p.Sum, p.Loads, p.Rounds
+				l.sum, l.loads, l.rounds, l.verdicts = p.Sum, p.Loads, p.Rounds, p.Verdicts
 				l.mu.Unlock()
 			} else {
 				l.post(func() {
 					now := l.now()
 					l.counts[h.ID] = proxyCount{p.Here, p.Loads, now}
+					l.mu.Lock()
+					addSeen(l.seen, p.Seen)
+					l.mu.Unlock()
 					for name := range p.Here {
 						l.proxies[name] = now
 					}
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -56,6 +56,7 @@
 			if s.at = l.now(); r.Seq > 0 {
 				s.loads, s.seq = r.Loads, r.Seq
 			}
+			addSeen(l.seen, r.Seen)
 			l.mu.Unlock()
 			if r.Self != nil && s.writing.CompareAndSwap(false, true) {
 				go func() {
@@ -155,6 +156,9 @@
 	}
 }
 
+// judgedEvery is how many bookmarks one carries the verdicts on endpoints.
+const judgedEvery = 3
+
 // stream sends events as they come and bookmarks while this node is in touch
 // with the newest state; without them the proxy looks for another node.
 func (l *Lathe) stream(conn *dowel.Conn, s *session, after uint64, gone chan struct{}) {
@@ -177,6 +181,7 @@
 	if conn.Send(&dowel.Frame{Bookmark: first}) != nil {
 		return
 	}
+	round := 0
 	for {
 		l.mu.RLock()
 		events, err := l.cache.Since(after, eventsAFrame)
@@ -210,6 +215,11 @@
 			}
 			// Events that came since go out before the mark that covers them.
 			b := l.bookmark(s)
+			if round++; round%judgedEvery == 0 {
+				l.mu.RLock()
+				b.Judged, b.Verdicts = true, l.verdicts
+				l.mu.RUnlock()
+			}
 			l.mu.RLock()
 			rest, err := l.cache.Since(after, 1)
 			l.mu.RUnlock()
--- a/internal/lathe/world.go
+++ b/internal/lathe/world.go
@@ -1,7 +1,6 @@
 package lathe
 
 import (
-	"math/rand"
 	"time"
 
 	"lichentray/balance"
@@ -63,7 +62,7 @@
 		return
 	}
 	if p, err := rack.DecodeProxy(e.Object); err == nil {
-		l.places[e.Object.Key] = balance.Place{Address: p.Address, Zone: p.Zone, Leaving: p.Leaving}
+		l.places[e.Object.Key] = balance.Place{Address: p.Address, Zone: p.Zone, Weight: p.Weight, Leaving: p.Leaving}
 	}
 }
 
@@ -73,7 +72,7 @@
 // Resolve tells a client which proxy nodes to go to, and for how long that
 // holds. A node that lost touch answers from what it still holds: proxies that
 // were there a while ago are better than none.
-func (l *Lathe) Resolve(host, region, zone string) ([]string, time.Duration, error) {
+func (l *Lathe) Resolve(client, host, region, zone string) ([]string, time.Duration, error) {
 	fresh := l.fresh()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -90,7 +89,7 @@
 	for _, p := range l.places {
 		all = append(all, p)
 	}
-	out := balance.Direct(all, zone, region, func(z string) string { return l.set.Zones[z] }, resolveMost, rand.Intn)
+	out := balance.Direct(all, client, zone, region, func(z string) string { return l.set.Zones[z] }, resolveMost)
 	if len(out) == 0 {
 		return nil, 0, notch.New(notch.Unavailable, "no proxy node is registered")
 	}
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -116,6 +116,9 @@
 				p.setProxies(b.Proxies)
 				p.told(b.Loads)
 			}
+			if b.Judged {
+				p.judged(b.Verdicts)
+			}
 			if b.Round != nil {
 				p.granted(b.Round)
 			}
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -502,6 +502,10 @@
 		ratio := 0.0
 		if ok {
 			ratio = q.stats.learn(took.Seconds())
+		} else {
+			svc.mu.Lock()
+			svc.pool.Bad(e)
+			svc.mu.Unlock()
 		}
 		if a.status >= 500 && q.route.Repeatable && sent < q.route.MaxAttempts && o.u == nil && !q.fed && p.mayRepeat(svc) {
 			svc.release(p, e, true, 0)
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -522,8 +522,10 @@
 // more than one region, for each zone as well.
 func (p *Plane) report(span time.Duration) *dowel.Report {
 	out := map[string]balance.Load{}
+	seen := map[string]balance.Seen{}
 	for name, s := range p.services {
 		s.mu.Lock()
+		s.pool.Collect(seen)
 		_, inflight := s.pool.Slots(p.now())
 		if span > p.timing.Silence/3 { // else too short to tell a rate
 			s.share.Observe(balance.Load{Rate: float64(s.arrived) / span.Seconds(), Inflight: float64(inflight)})
@@ -549,7 +551,7 @@
 			delete(p.sentAt, seq)
 		}
 	}
-	return &dowel.Report{Seq: p.seq, Loads: out, Self: p.self()}
+	return &dowel.Report{Seq: p.seq, Loads: out, Seen: seen, Self: p.self()}
 }
 
 // self is this node's entry in the registry, where clients find proxies there.
@@ -557,7 +559,7 @@
 	if p.set.Entry != caliper.EntryDirectory || (!p.Ready() && !p.stopping.Load()) {
 		return nil
 	}
-	return &rack.Proxy{Name: p.set.NodeName, Address: p.set.Listen.Frontend, Zone: p.set.Zone, Leaving: p.stopping.Load()}
+	return &rack.Proxy{Name: p.set.NodeName, Address: p.set.Listen.Frontend, Zone: p.set.Zone, Leaving: p.stopping.Load(), Weight: p.set.Limits.BandwidthMbps}
 }
 
 // leave tells the control plane at once that this node ends.
@@ -585,6 +587,20 @@
 	}
 }
 
+// judged takes what all proxy nodes together make of the endpoints.
+func (p *Plane) judged(verdicts []balance.Verdict) {
+	of := make(map[string]balance.Verdict, len(verdicts))
+	for _, v := range verdicts {
+		of[v.Endpoint] = v
+	}
+	until := p.now() + 8*p.timing.Silence/3
+	for _, s := range p.services {
+		s.mu.Lock()
+		s.pool.SetVerdicts(until, of)
+		s.mu.Unlock()
+	}
+}
+
 // told takes the sums over all proxy nodes.
 func (p *Plane) told(loads map[string]balance.Load) {
 	now := p.now()
@@ -592,6 +608,8 @@
 		if s := p.services[name]; s != nil {
 			s.mu.Lock()
 			s.share.Told(now, sum)
+			slots, _ := s.pool.Slots(now)
+			s.pool.SetUse(sum.Inflight / float64(max(1, slots)))
 			s.mu.Unlock()
 		}
 	}
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -260,6 +260,8 @@
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Weight is what the node can carry, compared with others.
+	Weight float64 `json:"weight"`
 }
 
 // Key is where the proxy stands.
