--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -45,6 +45,7 @@
 	front := plane.NewFront(p, frontend)
 	go func() { failed <- front.Run() }()
 	go p.Follow(ctx)
+	go p.LookForRelay(ctx)
 	for {
 		select {
 		case err := <-failed:
--- a/cmd/vise/relay.go
+++ b/cmd/vise/relay.go
@@ -46,6 +46,20 @@
 	if err != nil {
 		return err
 	}
+	// A proxy on this machine looks here whether it shares the link with a relay.
+	own, err := net.Listen("tcp4", set.InternalAddr(set.IP))
+	if err != nil {
+		return err
+	}
+	go func() {
+		for {
+			c, err := own.Accept()
+			if err != nil {
+				return
+			}
+			c.Close()
+		}
+	}()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go r.follow(ctx, set, log)
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -3,9 +3,11 @@
 package plane
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand"
+	"net"
 	"sort"
 	"strings"
 	"sync"
@@ -63,6 +65,7 @@
 	viewed   chan struct{} // closed once there is a first view
 	stopping atomic.Bool
 	proxies  atomic.Int64
+	sharing  atomic.Bool // this machine's link, with a relay
 
 	// Owned by the follower goroutine.
 	mirror   *spool.Mirror
@@ -167,7 +170,39 @@
 func (p *Plane) now() time.Duration { return time.Since(p.start) }
 
 // Ready tells whether this node wants new connections.
-func (p *Plane) Ready() bool { return !p.stopping.Load() && p.routing.Load() != nil }
+func (p *Plane) Ready() bool {
+	return !p.stopping.Load() && p.routing.Load() != nil && !p.standsBack()
+}
+
+// standsBack tells whether this node leaves the clients to others: it shares its
+// machine's link with a relay of the control plane, whose calls are small and
+// urgent, and the zones have so many proxies that one is not missed.
+func (p *Plane) standsBack() bool {
+	return p.sharing.Load() && int(p.proxies.Load()) >= plenty*max(1, len(p.set.Zones))
+}
+
+const plenty = 10
+
+// LookForRelay notices whether a relay runs on this machine, until the context
+// ends. Relays run on machines that hold no disk of the core; they take
+// connections at the internal port as a core node would.
+func (p *Plane) LookForRelay(ctx context.Context) {
+	if p.set.QuorumMember || p.set.Entry == caliper.EntryDirectory {
+		return
+	}
+	for {
+		c, err := net.DialTimeout("tcp4", p.set.InternalAddr(p.set.IP), p.timing.Dial)
+		if err == nil {
+			c.Close()
+		}
+		p.sharing.Store(err == nil)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(p.set.Bounds.Contact.D()):
+		}
+	}
+}
 
 // regionOf gives the dense index of a zone's region; -1 is unknown.
 func (p *Plane) regionOf(zone string) int {
