Nodes keep to warm endpoints; connections that endpoints forget; pace remembered for longer

Causes: each request drew its endpoint anew, so most needed a new connection; a forgotten connection ejected a sound endpoint and lost non-repeatable requests.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,6 +22,8 @@
 // Endpoint is one endpoint's state as this node sees it.
 type Endpoint struct {
 	Spec
+	// Idle is how many idle connections this node has to the endpoint.
+	Idle     int
 	tier     int     // 0 in this zone, 1 in this region, 2 elsewhere
 	far      float64 // what its distance adds to its cost
 	crowd    float64 // what the load of its zone adds
@@ -232,6 +234,11 @@
 // metered tells whether the endpoint gets only what is granted.
 func (p *Pool) metered(e *Endpoint) bool { return p.coldRate > 0 && (e.Cold || e.back) }
 
+// draws is how many endpoints of a distance are compared. Of equally full ones
+// that with an idle connection is taken: so each node keeps to a part of the
+// endpoints, another one at every node, without a connection to each of them.
+const draws = 3
+
 // tier is the endpoints at one distance that can take a request. weight sums
 // up to and with each of them.
 type tier struct {
@@ -257,8 +264,8 @@
 //
 // With many nodes, what one of them has at an endpoint says little of how full
 // it is, and all would crowd the endpoints that are fastest. So each distance
-// (this zone, this region, elsewhere) offers the emptier of two endpoints drawn
-// by their pace and capacity, and the cheapest of these is taken.
+// (this zone, this region, elsewhere) offers the emptiest of a few endpoints
+// drawn by their pace and capacity, and the cheapest of these is taken.
 func (p *Pool) Pick(now time.Duration, rnd func() float64, skip func(*Endpoint) bool) *Endpoint {
 	var best, back *Endpoint
 	for i := range p.tiers {
@@ -291,8 +298,12 @@
 			continue
 		}
 		e := t.draw(rnd)
-		if other := t.draw(rnd); other.inflight*e.Capacity < e.inflight*other.Capacity {
-			e = other
+		for range draws - 1 {
+			other := t.draw(rnd)
+			a, b := e.inflight*other.Capacity, other.inflight*e.Capacity
+			if b < a || (a == b && other.Idle > 0 && e.Idle == 0) {
+				e = other
+			}
 		}
 		if c := p.cost(now, e); best == nil || c < bestCost {
 			best, bestCost = e, c
--- a/balance/judge.go
+++ b/balance/judge.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -40,7 +41,14 @@
 	of    map[string]*record
 }
 
-type record struct{ answers, times, bad, nodes float64 }
+// record holds what failed, and out of how many, for a short while, and how fast
+// answers came for longer: a pace lasts, and it takes many answers to tell.
+type record struct {
+	tried, bad, nodes float64
+	answers, times    float64
+}
+
+const paceLasts = 4 // times as long
 
 // NewJudge makes a judge that has seen nothing.
 func NewJudge(lasts time.Duration) *Judge { return &Judge{lasts: lasts, of: map[string]*record{}} }
@@ -53,6 +61,7 @@
 			r = &record{}
 			j.of[id] = r
 		}
+		r.tried += float64(s.Answers + s.Bad)
 		r.answers += float64(s.Answers)
 		r.times += s.Times
 		r.bad += float64(s.Bad)
@@ -70,23 +79,22 @@
 // Verdicts gives what is to be told of the endpoints of each service; whoever is
 // not named is of the usual pace and well.
 func (j *Judge) Verdicts(now time.Duration, services map[string][]string) []Verdict {
-	keep := 1.0
-	for span := now - j.at; span > 0; span -= j.lasts {
-		keep *= 1 - 0.5*min(1, float64(span)/float64(j.lasts))
-	}
+	halves := float64(now-j.at) / float64(j.lasts)
+	short, long := math.Exp2(-halves), math.Exp2(-halves/paceLasts)
 	j.at = now
 	for id, r := range j.of {
-		r.answers, r.times, r.bad, r.nodes = r.answers*keep, r.times*keep, r.bad*keep, r.nodes*keep
-		if r.answers+r.bad < 0.05 {
+		r.tried, r.bad, r.nodes = r.tried*short, r.bad*short, r.nodes*short
+		r.answers, r.times = r.answers*long, r.times*long
+		if r.answers < 0.05 && r.tried < 0.05 {
 			delete(j.of, id)
 		}
 	}
 	var out []Verdict
 	for _, ids := range services {
 		var sick []string
-		share := func(id string) float64 { r := j.of[id]; return r.bad / (r.answers + r.bad) }
+		share := func(id string) float64 { r := j.of[id]; return r.bad / r.tried }
 		for _, id := range ids {
-			if r := j.of[id]; r != nil && r.nodes >= 1.5 && r.answers+r.bad >= 3 && share(id) > sickFrom {
+			if r := j.of[id]; r != nil && r.nodes >= 1.5 && r.tried >= 3 && share(id) > sickFrom {
 				sick = append(sick, id)
 			}
 		}
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -8,6 +8,7 @@
 	"math/rand"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -299,12 +300,16 @@
 	u      *upstream
 	err    error
 	sent   bool // bytes of the request may have left
+	// stale tells that the connection had rested and ended without a byte of an
+	// answer: the endpoint had forgotten it.
+	stale  bool
+	rested time.Duration
 }
 
 // exchange sends the request to one endpoint and reads its answer.
 func (p *Plane) exchange(q *request, e *balance.Endpoint, sh *shelf) outcome {
 	now := time.Now()
-	u := sh.take(now)
+	u := sh.take(now, q.svc.rest(p.now()))
 	if u == nil {
 		var err error
 		if u, err = dialUpstream(e.Address, min(p.timing.Dial, q.until.Sub(now)), p.timing.Dark); err != nil {
@@ -350,7 +355,11 @@
 	}
 	if err != nil {
 		u.raw.Close()
-		return outcome{err: err, sent: n > 0}
+		return outcome{err: err, sent: n > 0, stale: u.rested > 0 && broken(err), rested: u.rested}
+	}
+	if _, err := u.br.Peek(1); err != nil {
+		u.raw.Close()
+		return outcome{err: err, sent: true, stale: u.rested > 0 && broken(err), rested: u.rested}
 	}
 	a, err := readAnswer(u.br, q.isHead, wholeBody)
 	if err != nil {
@@ -386,6 +395,11 @@
 	sh.put(u)
 }
 
+// broken tells an end of the connection from a time that is up.
+func broken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 var errDeadline = errors.New("plane: deadline reached")
 
 func sendFeed(u *upstream, q *request) error {
@@ -465,7 +479,13 @@
 				kind, why = notch.Deadline, "deadline reached"
 				break
 			}
-			svc.release(p, e, false, 0)
+			if o.stale {
+				// That the endpoint itself has ended shows at the next connection.
+				p.n.stale.Inc()
+				svc.forgot(p.now(), o.rested, p.timing.EjectMost)
+				sh.drop()
+			}
+			svc.release(p, e, o.stale, 0)
 			if errors.Is(o.err, errAnswer) {
 				p.n.badAnswers.Inc()
 			}
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -85,8 +85,8 @@
 }
 
 type counters struct {
-	requests, retries, budgetOut, ejected, refused, streamLost, lists, watches, badAnswers, dialFailed *dial.Counter
-	revision, config                                                                                   *dial.Counter
+	requests, retries, budgetOut, ejected, refused, streamLost, lists, watches, badAnswers, dialFailed, stale *dial.Counter
+	revision, config                                                                                          *dial.Counter
 }
 
 // routing is what one request is handled by, swapped whole.
@@ -117,6 +117,31 @@
 	// stand behind those who do not.
 	recent map[string]int
 	share  *balance.Admission
+	// Connections that have rested for longer than restMost are not used until
+	// restUntil: endpoints have been seen to forget such.
+	restMost  time.Duration
+	restUntil time.Duration
+}
+
+// rest is how long a connection may have rested to be used again.
+func (s *service) rest(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now < s.restUntil {
+		return s.restMost
+	}
+	return time.Hour
+}
+
+// forgot notes that an endpoint had forgotten a connection that had rested.
+func (s *service) forgot(now, rested, lasts time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now >= s.restUntil {
+		s.restMost = time.Hour
+	}
+	s.restMost = min(s.restMost, rested/2)
+	s.restUntil = now + lasts
 }
 
 type queued struct {
@@ -155,7 +180,7 @@
 		requests: c("requests_total"), retries: c("retries_total"), budgetOut: c("retry_budget_refused_total"),
 		ejected: c("ejections_total"), refused: c("refused_total"), streamLost: c("stream_lost_total"),
 		lists: c("stream_lists_total"), watches: c("stream_watches_total"),
-		badAnswers: c("endpoint_bad_answers_total"), dialFailed: c("endpoint_dial_failures_total"),
+		badAnswers: c("endpoint_bad_answers_total"), dialFailed: c("endpoint_dial_failures_total"), stale: c("endpoint_connections_forgotten_total"),
 		revision: c("registry_revision"), config: c("config_version"),
 	}
 	return p
@@ -439,14 +464,11 @@
 	now := time.Now()
 	for _, s := range services {
 		s.mu.Lock()
-		all := make([]*shelf, 0, len(s.shelves))
-		for _, sh := range s.shelves {
-			all = append(all, sh)
-		}
-		s.mu.Unlock()
-		for _, sh := range all {
+		for e, sh := range s.shelves {
 			sh.sweep(now)
+			e.Idle = sh.count()
 		}
+		s.mu.Unlock()
 	}
 }
 
@@ -542,6 +564,9 @@
 // release gives an endpoint's place back and wakes the first in the queue.
 func (s *service) release(p *Plane, e *balance.Endpoint, ok bool, took float64) {
 	s.mu.Lock()
+	if sh := s.shelves[e]; sh != nil {
+		e.Idle = sh.count()
+	}
 	s.pool.Done(p.now(), e, ok, took)
 	s.wakeFirst()
 	s.mu.Unlock()
--- a/internal/plane/upstream.go
+++ b/internal/plane/upstream.go
@@ -20,8 +20,9 @@
 	raw    *net.TCPConn
 	rc     syscall.RawConn
 	br     *bufio.Reader
-	until  time.Time // idle no longer than this
-	reused bool
+	until  time.Time     // idle no longer than this
+	since  time.Time     // idle since
+	rested time.Duration // how long it was idle before its present use; 0: it is new
 }
 
 // shelf keeps the idle connections of one endpoint.
@@ -31,8 +32,9 @@
 	closed bool
 }
 
-// take gives the idle connection used last that is still sound, or nil.
-func (s *shelf) take(now time.Time) *upstream {
+// take gives the idle connection used last that is still sound, or nil. One that
+// has rested for over most is not taken.
+func (s *shelf) take(now time.Time, most time.Duration) *upstream {
 	for {
 		s.mu.Lock()
 		n := len(s.idle)
@@ -43,8 +45,7 @@
 		u := s.idle[n-1]
 		s.idle = s.idle[:n-1]
 		s.mu.Unlock()
-		if now.Before(u.until) && u.silent() {
-			u.reused = true
+		if u.rested = max(1, now.Sub(u.since)); now.Before(u.until) && u.rested <= most && u.silent() {
 			return u
 		}
 		u.raw.Close()
@@ -58,9 +59,27 @@
 		u.raw.Close()
 		return
 	}
+	u.since = time.Now()
 	s.idle = append(s.idle, u)
 }
 
+// count is how many connections are idle.
+func (s *shelf) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.idle)
+}
+
+// drop closes all idle connections.
+func (s *shelf) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.idle {
+		u.raw.Close()
+	}
+	s.idle = nil
+}
+
 // sweep closes connections whose time is up; close ends the shelf.
 func (s *shelf) sweep(now time.Time) {
 	s.mu.Lock()
