Long answers are spread over a narrow link

Cause: on links of 4 to 5 Mbit/s every short message waited behind whole downloads of 90 KB (171 ms each). Ruled out: smaller socket buffers (no effect, reverted).

--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -616,8 +616,13 @@
 		resp.SetBodyStream(&tail{p: p, q: q, svc: svc, e: e, sh: sh, u: o.u, a: a, ratio: ratio}, int(a.length))
 		return
 	}
-	resp.SetBodyRaw(a.body)
 	svc.release(p, e, true, ratio)
+	if len(a.body) >= pacedFrom && p.pacer.rate > 0 {
+		resp.SetBodyStream(&paced{p.pacer, a.body, q.until}, len(a.body))
+		return
+	}
+	p.pacer.take(time.Now(), len(a.body))
+	resp.SetBodyRaw(a.body)
 }
 
 // tail passes on the rest of a long answer as it comes.
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -80,6 +80,7 @@
 	region map[string]int
 	here   int
 	stream atomic.Pointer[dowel.Conn]
+	pacer  *pacer
 
 	n counters
 }
@@ -167,7 +168,7 @@
 		viewed: make(chan struct{}), services: map[string]*service{}, zones: map[string]balance.Zone{},
 		line: plumb.New(set), sentAt: map[uint64]time.Duration{}, region: map[string]int{},
 		// A later life of this node begins above the sequences of an earlier one.
-		seq: uint64(time.Now().UnixMilli()),
+		seq: uint64(time.Now().UnixMilli()), pacer: newPacer(set.Limits.BandwidthMbps),
 	}
 	for _, r := range set.Zones {
 		if _, there := p.region[r]; !there {
