--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -342,13 +342,20 @@
 		b = strconv.AppendInt(b, int64(n), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
-	b = append(b, q.body...)
+	long := q.body
+	if len(long) < pacedFrom || p.pacer.rate <= 0 {
+		b, long = append(b, long...), nil
+	}
 	*buf = b
+	p.pacer.take(now, len(b))
 	if err := u.raw.SetDeadline(q.until); err != nil {
 		u.raw.Close()
 		return outcome{err: err}
 	}
 	n, err := u.raw.Write(b)
+	if err == nil && long != nil {
+		_, err = io.Copy(onlyWriter{u.raw}, &paced{p.pacer, long, q.until})
+	}
 	if err == nil && q.feed != nil {
 		q.fed = true
 		err = sendFeed(u, q)
@@ -400,6 +407,9 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// onlyWriter hides all but Write, so that a copy goes piece by piece.
+type onlyWriter struct{ io.Writer }
+
 var errDeadline = errors.New("plane: deadline reached")
 
 func sendFeed(u *upstream, q *request) error {
