Tests: deltas, cold endpoints over nodes, homes, evacuations, directory, placement, verdicts, pacing

Also: on a connection that has served before, an answer must carry the id of the request; a host without rules is known to the directory.

--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lichentray/clamp"
+	"lichentray/internal/caliper"
 	"lichentray/internal/dial"
 	"lichentray/internal/dowel"
 	"lichentray/internal/notch"
@@ -28,10 +29,11 @@
 	control, internal int
 	ips               []string
 	nodes             []*Lathe
+	tune              func(*caliper.Settings)
 }
 
-func newGroup(t *testing.T, n int) *group {
-	g := &group{t: t, dir: t.TempDir()}
+func newGroup(t *testing.T, n int, tune func(*caliper.Settings)) *group {
+	g := &group{t: t, dir: t.TempDir(), tune: tune}
 	for i := range n {
 		g.ips = append(g.ips, fmt.Sprint("127.0.0.", 11+i))
 	}
@@ -56,6 +58,9 @@
 		g.t.Fatal(err)
 	}
 	set := vicetest.Settings(g.t, g.ips[i], g.disk(i), g.control, g.internal, g.ips[:min(3, len(g.ips))], bootstrap)
+	if g.tune != nil {
+		g.tune(set)
+	}
 	var err error
 	for range 100 { // the port may still be held by the life before
 		if g.nodes[i], err = Start(set, slog.New(slog.NewTextHandler(io.Discard, nil)), dial.NewBoard()); err == nil {
@@ -89,7 +94,7 @@
 // TestGroup drives three nodes on the loopback through the calls, a watch that
 // resumes elsewhere, the loss of a disk, and the loss of all processes.
 func TestGroup(t *testing.T) {
-	g := newGroup(t, 3)
+	g := newGroup(t, 3, nil)
 	l := g.nodes
 	until(t, "a configuration is taken", func() bool { return l[0].Replace([]byte(fmt.Sprintf(text, 5))) == nil })
 
@@ -266,6 +271,125 @@
 	}
 }
 
+// TestWorld drives three nodes of a global tier: directory, leases of proxies,
+// cold marks, evacuations that outlive the loss of all processes.
+func TestWorld(t *testing.T) {
+	g := newGroup(t, 3, func(s *caliper.Settings) {
+		s.Zones = map[string]string{"a": "r1", "b": "r2"}
+		s.Bounds.ColdOvershoot, s.Bounds.ColdSlack, s.Bounds.TTLMax = 1.5, 8, 5
+		s.HeartbeatEvery = 0.2
+	})
+	l := g.nodes
+	config := `{"config_version":1,"listeners":[{"hostname":"h","rules":[]}],"clusters":[{"name":"s","health_check_path":"/health","cold_rate_s":6}]}`
+	until(t, "a configuration is taken", func() bool { return l[0].Replace([]byte(config)) == nil })
+
+	// A proxy registers over its stream, says that it leaves, and is dropped once
+	// it is not heard of.
+	stream, _ := follow(t, l[1].self.Addr, spool.NewMirror())
+	self := &rack.Proxy{Name: "p", Address: "10.0.0.1:80", Zone: "a", Weight: 5}
+	places := func(n *Lathe) string {
+		got, ttl, err := n.Resolve("10.9.9.9", "h", "r1", "a")
+		return fmt.Sprint(got, ttl, err != nil)
+	}
+	if got := places(l[0]); got != "[] 0s true" {
+		t.Errorf("without proxies: %s", got)
+	}
+	if _, _, err := l[0].Resolve("10.9.9.9", "other", "r1", "a"); notch.Of(err) != notch.NoRoute {
+		t.Errorf("a host that no configuration has: %v", err)
+	}
+	report := func() {
+		if err := stream.Send(&dowel.Frame{Report: &dowel.Report{Seq: 1, Self: self}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	report()
+	for i := range l {
+		until(t, "the directory knows the proxy", func() bool { return places(l[i]) == "[10.0.0.1:80] 1.25s false" })
+	}
+	self.Leaving = true
+	report()
+	until(t, "its leaving is known", func() bool {
+		l[2].mu.RLock()
+		defer l[2].mu.RUnlock()
+		return l[2].places[rack.ProxyPrefix+"p"].Leaving
+	})
+	stream.Close()
+	until(t, "its lease runs out", func() bool { return places(l[2]) == "[] 0s true" })
+
+	// A beat that tells of a cold start marks the endpoint, a later one ends it.
+	e := rack.Endpoint{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Zone: "b", Capacity: 2, Sequence: 1, ColdS: 3}
+	marked := func() bool {
+		l[0].mu.RLock()
+		defer l[0].mu.RUnlock()
+		o, _ := l[0].store.Get(e.Key())
+		x, err := rack.DecodeEndpoint(o)
+		return err == nil && x.Cold
+	}
+	if err := l[0].Beat(e); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the cold start is known", marked)
+	e.Sequence, e.ColdS = 2, 0
+	if err := l[0].Beat(e); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the end of the cold start is known", func() bool { return !marked() })
+
+	// Evacuations: odd orders are harmless, what is acknowledged stays.
+	if err := l[0].Evacuate("nowhere", true); notch.Of(err) != notch.BadRequest {
+		t.Errorf("an unknown zone: %v", err)
+	}
+	for _, begin := range []bool{false, true, true} {
+		if err := l[1].Evacuate("b", begin); err != nil {
+			t.Error(err)
+		}
+	}
+	for i := range l {
+		l[i].Close()
+	}
+	for i := range l {
+		g.start(i, false)
+	}
+	until(t, "the evacuation is read back", func() bool {
+		got, err := l[2].Evacuations()
+		return err == nil && got["b"] == rack.Evacuated
+	})
+	if err := l[0].Evacuate("b", false); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := l[1].Evacuations(); err != nil || got["b"] != rack.Returning {
+		t.Errorf("after the finish: %v, %v", got, err)
+	}
+	until(t, "the zone is in ordinary use", func() bool {
+		got, err := l[1].Evacuations()
+		return err == nil && len(got) == 0
+	})
+}
+
+// TestVotersAreSpread: with five voters over three regions, no region may hold a
+// majority of them, and no zone more than one.
+func TestVotersAreSpread(t *testing.T) {
+	zones := map[string]string{"0": "r0", "1": "r0", "2": "r0", "3": "r1", "4": "r1", "5": "r2", "6": "r2"}
+	g := newGroup(t, 7, func(s *caliper.Settings) {
+		s.Zones, s.Zone = zones, fmt.Sprint(s.IP[len(s.IP)-1]-'1')
+		s.Tolerance.Machines, s.Tolerance.Regions = 2, 1
+	})
+	until(t, "five voters, two in a region at the most", func() bool {
+		x := g.leader()
+		if x == nil {
+			return false
+		}
+		in, n := map[string]int{}, 0
+		for _, m := range x.Status().Members {
+			if m.Voter {
+				n++
+				in[zones[x.links.zone(m.Addr)]]++
+			}
+		}
+		return n == 5 && in["r0"] == 2 && in["r1"]+in["r2"] == 3 && in["r1"] > 0 && in["r2"] > 0
+	})
+}
+
 func TestMergeOfDiskJobs(t *testing.T) {
 	e := func(i, term uint64) clamp.Entry { return clamp.Entry{Index: i, Term: term} }
 	j := merge(diskJob{entries: []clamp.Entry{e(5, 1), e(6, 1), e(7, 1)}, hard: &clamp.HardState{Term: 1}},
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -373,7 +373,9 @@
 		u.raw.Close()
 		return outcome{err: err, sent: true}
 	}
-	if id := a.get("X-Attempt-Id"); id != nil && len(q.id) > 0 && !bytes.Equal(id, q.id) {
+	// An answer in excess may stand where this one is due; the id tells. On a
+	// connection that has served another request it must be there.
+	if id := a.get("X-Attempt-Id"); len(q.id) > 0 && !bytes.Equal(id, q.id) && (id != nil || u.rested > 0) {
 		u.raw.Close()
 		return outcome{err: fmt.Errorf("%w: of another request", errAnswer), sent: true}
 	}
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -199,7 +199,7 @@
 		{"a body without a length", always("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n\r\nBREAK"), post("/once/a"), 502, 1},
 		{"no HTTP at all", always("BREAK what is this\r\n\r\n"), post("/once/a"), 502, 1},
 		{"two lengths", always("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy"), post("/once/a"), 502, 1},
-		{"chunked", always("HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), post("/once/a"), 200, 1},
+		{"chunked", always("HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), post("/once/a"), 200, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var mu sync.Mutex
@@ -363,6 +363,98 @@
 	}
 }
 
+// TestHomesAndEmptiedZones: a request goes to its homes alone, and to no zone
+// that is evacuated; where that leaves nobody it is refused with a promise.
+func TestHomesAndEmptiedZones(t *testing.T) {
+	near := newEndpoint(t, func(int, string) string { return ok("near") })
+	far := newEndpoint(t, func(int, string) string { return ok("far") })
+	p, f := newFront(t)
+	addr := f.ln.Addr().String()
+	p.set.Zones = map[string]string{"a": "r1", "b": "r2"}
+	p.region, p.here = map[string]int{"r1": 0, "r2": 1}, 0
+	for id, e := range map[string]*endpoint{"a": near, "b": far} {
+		x := rack.Endpoint{ID: "i-" + id, Service: "s", Address: e.ln.Addr().String(), Zone: id, Capacity: 4}
+		p.takeObject(rack.Object{Key: x.Key(), Value: x.Encode()}, false)
+	}
+	version := 3
+	check := func(regions, want string) {
+		t.Helper()
+		version++
+		text := strings.Replace(strings.Replace(routes, `"max_attempts":2`, `"max_attempts":2,"allowed_regions":[`+regions+`]`, -1), `"config_version":3`, fmt.Sprintf(`"config_version":%d`, version), 1)
+		p.takeObject(rack.Object{Key: rack.ConfigKey, Value: append(make([]byte, 8), text...)}, true)
+		for range 5 {
+			rs := send(t, addr, post("/once/a"), 1)
+			if len(rs) != 1 {
+				t.Fatal("no answer")
+			}
+			body, _ := io.ReadAll(rs[0].Body)
+			if got := fmt.Sprint(rs[0].StatusCode, " ", string(body)); !strings.HasPrefix(got, want) {
+				t.Fatalf("homes %q: %s, want %s", regions, got, want)
+			}
+		}
+	}
+	check("", "200 near")
+	check(`"r2"`, "200 far")
+	check(`"nowhere"`, "503")
+	evac := rack.Object{Key: rack.EvacPrefix + "b", Value: []byte(rack.Evacuated), ModRevision: 1}
+	if err := p.takeEvent(rack.Event{Type: rack.Added, Object: evac, Revision: 1}); err != nil {
+		t.Fatal(err)
+	}
+	check(`"r2"`, "503")
+	check("", "200 near")
+	if err := p.takeEvent(rack.Event{Type: rack.Deleted, Object: rack.Object{Key: evac.Key, ModRevision: 2}, Revision: 2}); err != nil {
+		t.Fatal(err)
+	}
+	check(`"r2"`, "200 far")
+}
+
+// TestForgottenConnection: an endpoint that has forgotten an idle connection is
+// not ejected for it, a request that may run once is not sent again, and later
+// ones go out on fresher connections.
+func TestForgottenConnection(t *testing.T) {
+	e := newEndpoint(t, func(n int, _ string) string {
+		if n == 2 {
+			return ""
+		}
+		return ok("x")
+	})
+	p, addr := front(t, e)
+	var got []int
+	for range 4 {
+		got = append(got, status(send(t, addr, post("/once/a"), 1)))
+		time.Sleep(5 * time.Millisecond)
+	}
+	if fmt.Sprint(got) != "[200 502 200 200]" || len(e.requests()) != 4 {
+		t.Errorf("answers %v, %d requests arrived", got, len(e.requests()))
+	}
+	if p.n.stale.Value() != 1 || p.n.ejected.Value() != 0 || p.services["s"].rest(p.now()) > time.Second {
+		t.Errorf("forgotten %d, ejected %d", p.n.stale.Value(), p.n.ejected.Value())
+	}
+}
+
+// TestPaced: a long answer comes whole, a piece at a time as the link has room,
+// and without waiting where its time is short.
+func TestPaced(t *testing.T) {
+	p := newPacer(4)
+	now := time.Unix(1000, 0)
+	total := time.Duration(0)
+	for range 10 {
+		total = p.take(now, 40_000)
+	}
+	if want := time.Duration(9*40_000/(500_000*pacedShare)*1e9) - pacedAhead; total < want-time.Millisecond || total > want+time.Millisecond {
+		t.Errorf("the tenth piece waits %v, want %v", total, want)
+	}
+	if wait := newPacer(1000).take(now, 1e6); wait != 0 {
+		t.Errorf("a wide link waits %v", wait)
+	}
+	body := bytes.Repeat([]byte("0123456789"), 5000)
+	began := time.Now()
+	got, err := io.ReadAll(&paced{p: newPacer(0.1), body: body, until: began.Add(100 * time.Millisecond)})
+	if err != nil || !bytes.Equal(got, body) || time.Since(began) > 2*time.Second {
+		t.Errorf("%d of %d bytes after %v, %v", len(got), len(body), time.Since(began), err)
+	}
+}
+
 // TestIdleConnectionOutlivesADeadline: the deadline of the last request says
 // nothing about an idle connection; unasked bytes and an end do.
 func TestIdleConnectionOutlivesADeadline(t *testing.T) {
--- a/jig/jig.go
+++ b/jig/jig.go
@@ -253,6 +253,7 @@
 	}
 	for _, l := range c.Listeners {
 		host := strings.ToLower(l.Hostname)
+		t.hosts[host] = t.hosts[host] // a host without rules is known too
 		for _, x := range l.Rules {
 			r := &Route{
 				Index: len(t.Routes), Name: x.Name, Prefix: x.Match.Prefix, Type: x.Type,
