--- a/cmd/gauge/main.go
+++ b/cmd/gauge/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/url"
 	"os"
 	"sort"
 	"strings"
@@ -40,7 +41,10 @@
   gauge config check FILE         check a configuration ("-" is standard input)
   gauge config read               print the newest configuration
   gauge config replace FILE       put a configuration in force
-  gauge status                    show members, leader, revisions and proxies
+  gauge evac list                 show the zones that are not in ordinary use
+  gauge evac begin ZONE           let nothing more go to a zone's endpoints
+  gauge evac finish ZONE          take a zone back
+  gauge status                    show members, leader, revisions, proxies and zones
   gauge version
 
 Flags, after the command:
@@ -54,7 +58,7 @@
   1  failed: no node could be reached or none could do it; nothing was changed
   2  wrong usage
   3  the settings or the configuration are invalid; nothing was changed
-  4  the outcome is not known: a replace may or may not be in force
+  4  the outcome is not known: the order may or may not be in force
 `
 
 // failure is an error with its exit code.
@@ -123,6 +127,7 @@
 	commands := map[string]func(io.Reader) error{
 		"settings check": t.settingsCheck, "config check": t.configCheck, "config read": t.configRead,
 		"config replace": t.configReplace, "status": t.status,
+		"evac list": t.evacList, "evac begin": t.evacOrder, "evac finish": t.evacOrder,
 	}
 	do := commands[args[0]]
 	t.command = args[0]
@@ -274,67 +279,119 @@
 	return resp.StatusCode(), append([]byte(nil), resp.Body()...), true, nil
 }
 
-func (t *tool) configRead(io.Reader) error {
+// read asks one node after the other until one answers.
+func (t *tool) read(call string) ([]byte, error) {
 	nodes, err := t.where()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	var last error
 	for time.Now().Before(t.until) {
 		for _, n := range nodes {
-			status, body, _, err := t.call(n, "POST", "/api/rpc?call=configuration.read", []byte{})
+			status, body, _, err := t.call(n, "POST", "/api/rpc?call="+call, []byte{})
 			switch {
 			case err != nil:
 				last = fmt.Errorf("%s: %w", n, err)
 			case status == 200:
-				_, err := fmt.Fprintln(t.out, string(body))
-				return err
+				return body, nil
 			case status == 404:
-				return fail(exitFailed, "%s: there is no configuration yet", n)
+				return nil, fail(exitFailed, "%s: there is no configuration yet", n)
 			default:
 				last = fmt.Errorf("%s answered %d: %s", n, status, body)
 			}
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	return fail(exitFailed, "no node gave the configuration: %v", last)
+	return nil, fail(exitFailed, "no node answered %s: %v", call, last)
 }
 
-func (t *tool) configReplace(in io.Reader) error {
-	text, c, err := t.readConfig(in)
-	if err != nil {
-		return err
-	}
+// order sends an order to one node after the other until one acknowledges it.
+func (t *tool) order(call string, body []byte) (node string, err error) {
 	nodes, err := t.where()
 	if err != nil {
-		return err
+		return "", err
 	}
 	var last error
 	unclear := false
 	for time.Now().Before(t.until) {
 		for _, n := range nodes {
-			status, body, sent, err := t.call(n, "POST", "/api/rpc?call=configuration.replace", text)
+			status, answer, sent, err := t.call(n, "POST", "/api/rpc?call="+call, body)
 			switch {
 			case err != nil:
 				unclear = unclear || sent
 				last = fmt.Errorf("%s: %w", n, err)
 			case status == 200:
-				what, m := describe(c)
-				m["acknowledged"], m["node"] = true, n
-				return t.print("acknowledged by "+n+": "+what+"\n(a version that is not above the one held changes nothing)", m)
+				return n, nil
 			case status >= 400 && status < 500 && status != 408 && status != 429:
-				return fail(exitInvalid, "%s refused it with %d: %s", n, status, body)
+				return "", fail(exitInvalid, "%s refused it with %d: %s", n, status, answer)
 			default:
 				unclear = unclear || status != 503 && status != 429
-				last = fmt.Errorf("%s answered %d: %s", n, status, body)
+				last = fmt.Errorf("%s answered %d: %s", n, status, answer)
 			}
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	if unclear {
-		return fail(exitUnknown, "no clear answer, the configuration may or may not be in force: %v", last)
+		return "", fail(exitUnknown, "no clear answer, the order may or may not be in force: %v", last)
+	}
+	return "", fail(exitFailed, "no node took the order: %v", last)
+}
+
+func (t *tool) configRead(io.Reader) error {
+	body, err := t.read("configuration.read")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(t.out, string(body))
+	return err
+}
+
+func (t *tool) evacList(io.Reader) error {
+	body, err := t.read("evacuations.read")
+	if err != nil {
+		return err
+	}
+	var a struct {
+		Zones map[string]string `json:"zones"`
 	}
-	return fail(exitFailed, "no node took the configuration: %v", last)
+	if err := json.Unmarshal(body, &a); err != nil {
+		return fail(exitFailed, "the answer cannot be read: %v", err)
+	}
+	lines := []string{}
+	for zone, state := range a.Zones {
+		lines = append(lines, zone+"  "+state)
+	}
+	sort.Strings(lines)
+	if len(lines) == 0 {
+		lines = append(lines, "all zones are in ordinary use")
+	}
+	return t.print(strings.Join(lines, "\n"), a)
+}
+
+func (t *tool) evacOrder(io.Reader) error {
+	if len(t.args) != 1 {
+		return fail(exitUsage, "%s takes one zone", t.command)
+	}
+	call := "evacuations." + strings.TrimPrefix(t.command, "evac ") + "&of=" + url.QueryEscape(t.args[0])
+	n, err := t.order(call, []byte{})
+	if err != nil {
+		return err
+	}
+	return t.print("acknowledged by "+n+": "+t.command+" "+t.args[0], map[string]any{"acknowledged": true, "node": n, "zone": t.args[0]})
+}
+
+func (t *tool) configReplace(in io.Reader) error {
+	text, c, err := t.readConfig(in)
+	if err != nil {
+		return err
+	}
+	n, err := t.order("configuration.replace", text)
+	if err != nil {
+		return err
+	}
+	what, m := describe(c)
+	m["acknowledged"], m["node"] = true, n
+	return t.print("acknowledged by "+n+": "+what+"\n(a version that is not above the one held changes nothing)", m)
 }
 
 func (t *tool) status(io.Reader) error {
@@ -395,9 +452,19 @@
 	if lead == nil {
 		fmt.Fprintln(w, "\nno leader was found")
 	} else {
-		fmt.Fprintln(w, "\nMEMBER\tINTERNAL ADDRESS\tVOTES\tMATCH\tHEARD")
+		fmt.Fprintln(w, "\nMEMBER\tINTERNAL ADDRESS\tZONE\tVOTES\tMATCH\tHEARD")
 		for _, m := range lead.Members {
-			fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%d ms ago\n", m.ID, m.Addr, m.Voter, m.Match, m.AgoMS)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%d ms ago\n", m.ID, m.Addr, m.Zone, m.Voter, m.Match, m.AgoMS)
+		}
+		fmt.Fprintf(w, "\nendpoints: %d cold, %d that all proxies together find ill\n", lead.Cold, lead.Sick)
+		for zone, state := range lead.Zones {
+			fmt.Fprintf(w, "zone %s: %s\n", zone, state)
+		}
+		if len(lead.Registered) > 0 {
+			fmt.Fprintln(w, "\nIN THE DIRECTORY\tADDRESS\tZONE\tWEIGHT\tLEAVING")
+			for _, p := range lead.Registered {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%v\n", p.Name, p.Address, p.Zone, p.Weight, p.Leaving)
+			}
 		}
 	}
 	fmt.Fprintln(w, "\nPROXY\tWATCHES AT\tREVISION")
--- a/cmd/gauge/main_test.go
+++ b/cmd/gauge/main_test.go
@@ -24,7 +24,9 @@
 		w.WriteHeader(status)
 		switch {
 		case r.URL.Path == "/api/status":
-			fmt.Fprint(w, `{"node":"n1","id":"0a","role":"leader","term":4,"revision":9,"members":[{"id":"0a","voter":true}],"proxies":[{"node":"p1","revision":9}]}`)
+			fmt.Fprint(w, `{"node":"n1","id":"0a","role":"leader","term":4,"revision":9,"members":[{"id":"0a","voter":true}],"proxies":[{"node":"p1","revision":9}],"zones":{"z1":"evacuated"},"registered":[{"name":"p7","address":"10.0.0.7:80","zone":"z1"}]}`)
+		case r.URL.Query().Get("call") == "evacuations.read":
+			fmt.Fprint(w, `{"zones":{"z1":"evacuated"}}`)
 		case r.URL.Query().Get("call") == "configuration.read":
 			fmt.Fprint(w, good)
 		}
@@ -56,6 +58,12 @@
 		{"config replace " + cfg + " --nodes " + addr, 200, exitOK, "acknowledged by"},
 		{"config replace " + cfg + " --nodes " + addr, 400, exitInvalid, "refused it with 400"},
 		{"config replace " + cfg + " --timeout 50ms --nodes " + addr, 503, exitFailed, "no node took"},
+		{"evac list --nodes " + addr, 200, exitOK, "z1  evacuated"},
+		{"evac begin z1 --nodes " + addr, 200, exitOK, "acknowledged by"},
+		{"evac finish z1 --nodes " + addr, 400, exitInvalid, "refused it with 400"},
+		{"evac finish z1 --timeout 50ms --nodes " + addr, 504, exitUnknown, "may or may not"},
+		{"evac begin", 200, exitUsage, "one zone"},
+		{"status --nodes " + addr, 200, exitOK, "p7"},
 		{"config replace " + cfg + " --timeout 50ms --nodes " + addr, 504, exitUnknown, "may or may not"},
 		{"config replace " + bad + " --nodes " + addr, 200, exitInvalid, "clusters.0"},
 		{"status --nodes " + addr, 200, exitOK, "p1"},
--- a/internal/lathe/status.go
+++ b/internal/lathe/status.go
@@ -12,6 +12,7 @@
 	ID    string `json:"id"`
 	Addr  string `json:"internal_address"`
 	API   string `json:"control_plane"`
+	Zone  string `json:"zone"`
 	Voter bool   `json:"voter"`
 	// Match and AgoMS are known at the leader only; AgoMS is -1 elsewhere.
 	Match uint64 `json:"match_index"`
@@ -40,6 +41,12 @@
 	Fresh     bool           `json:"in_touch"`
 	Members   []MemberStatus `json:"members"`
 	Proxies   []ProxyStatus  `json:"proxies"`
+	// Cold endpoints, and those that all proxies together find ill.
+	Cold int `json:"cold"`
+	Sick int `json:"sick"`
+	// Zones that are not in ordinary use, and the proxies in the directory.
+	Zones      map[string]string `json:"zones"`
+	Registered []rack.Proxy      `json:"registered"`
 }
 
 func hexID(id uint64) string { return fmt.Sprintf("%016x", id) }
@@ -53,7 +60,7 @@
 		s := &Status{Node: l.set.NodeName, ID: hexID(l.self.ID), Role: n.Role().String(), Term: n.Term(), Leader: hexID(n.Leader()), Commit: n.Commit(), Stable: n.Stable()}
 		ms := n.Members()
 		for _, m := range ms.All() {
-			st := MemberStatus{ID: hexID(m.ID), Addr: m.Addr, API: m.API, Voter: ms.Voter(m.ID), AgoMS: -1}
+			st := MemberStatus{ID: hexID(m.ID), Addr: m.Addr, API: m.API, Zone: l.links.zone(m.Addr), Voter: ms.Voter(m.ID), AgoMS: -1}
 			if n.Role() == clamp.Leader {
 				st.Match, st.AgoMS = n.Match(m.ID), 0
 				if m.ID != l.self.ID {
@@ -72,8 +79,24 @@
 		s.Revision = l.store.Revision()
 		for _, o := range l.store.List(rack.EndpointPrefix) {
 			s.Endpoints++
-			if e, err := rack.DecodeEndpoint(o); err == nil && e.Draining {
-				s.Draining++
+			if e, err := rack.DecodeEndpoint(o); err == nil {
+				if e.Draining {
+					s.Draining++
+				}
+				if e.Cold {
+					s.Cold++
+				}
+			}
+		}
+		for _, v := range l.verdicts {
+			if v.Sick {
+				s.Sick++
+			}
+		}
+		s.Zones = l.evacuations()
+		for _, o := range l.store.List(rack.ProxyPrefix) {
+			if p, err := rack.DecodeProxy(o); err == nil {
+				s.Registered = append(s.Registered, p)
 			}
 		}
 		s.Config, _, _ = l.configuration()
