A node without a disk joins the core where no machine of the core has one; relays tested

Found on a made-up site on which no machine has a disk or counts: all nodes were relays and nothing was served.

--- a/cmd/vise/main.go
+++ b/cmd/vise/main.go
@@ -10,8 +10,11 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"lichentray/internal/caliper"
 	"lichentray/internal/daemon"
 	"lichentray/internal/dial"
@@ -31,8 +34,14 @@
 	if set.Listen.Control == "" {
 		return errors.New("listen_addresses.control_plane: missing, vise serves control")
 	}
-	if set.DataDirectory == "" && !set.QuorumMember {
-		return runRelay(set, log, sig)
+	// Beside a core that has disks, a node without one holds nothing. Whether the
+	// core has, a node learns from whom it follows; at the very first start the
+	// seeds are the core.
+	if set.DataDirectory == "" && !set.QuorumMember && !(set.Bootstrap && slices.Contains(set.Seeds, set.Listen.Control)) {
+		if err := runRelay(set, log, sig); !errors.Is(err, errNoDisks) {
+			return err
+		}
+		log.Info("no machine of the core has a disk, joining it")
 	}
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * 0.7 * (1 << 20)))
@@ -71,16 +80,21 @@
 			grace := set.Bounds.GracePeriod.D()
 			log.Info("stopping")
 			node.Resign(grace / 6)
-			done := make(chan struct{})
-			go func() {
-				_ = srv.Shutdown() // whatever is left ends with the process
-				close(done)
-			}()
-			select {
-			case <-done:
-			case <-time.After(grace / 3):
-			}
+			end(srv, grace/3)
 			return nil
 		}
 	}
 }
+
+// end lets a server finish what it has read, within wait.
+func end(srv *fasthttp.Server, wait time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		_ = srv.Shutdown() // whatever is left ends with the process
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(wait):
+	}
+}
--- a/cmd/vise/relay.go
+++ b/cmd/vise/relay.go
@@ -30,6 +30,7 @@
 	to   atomic.Pointer[fasthttp.HostClient] // nil: no core node is in touch
 	// wait bounds an ordinary call, poll a watch.
 	wait, poll           time.Duration
+	noDisks              chan struct{}
 	passed, lost, failed *dial.Counter
 }
 
@@ -39,18 +40,20 @@
 	board := dial.NewBoard()
 	b := set.Bounds
 	r := &relay{
-		line: plumb.New(set), wait: b.Contact.D(), poll: b.HistoryRetention.D() + b.Contact.D(),
+		line: plumb.New(set), noDisks: make(chan struct{}), wait: b.Contact.D(), poll: b.HistoryRetention.D() + b.Contact.D(),
 		passed: board.Counter("relayed_total"), lost: board.Counter("relayed_without_target_total"), failed: board.Counter("relayed_unclear_total"),
 	}
 	ln, err := net.Listen("tcp4", set.Listen.Control)
 	if err != nil {
 		return err
 	}
+	defer ln.Close()
 	// A proxy on this machine looks here whether it shares the link with a relay.
 	own, err := net.Listen("tcp4", set.InternalAddr(set.IP))
 	if err != nil {
 		return err
 	}
+	defer own.Close()
 	go func() {
 		for {
 			c, err := own.Accept()
@@ -70,9 +73,12 @@
 		select {
 		case err := <-failed:
 			return err
+		case <-r.noDisks:
+			return errNoDisks
 		case s := <-sig.Changed:
 			r.line.SetSeeds(s.Seeds)
 		case <-sig.Stop:
+			end(srv, set.Bounds.GracePeriod.D()/6)
 			return nil
 		}
 	}
@@ -115,6 +121,11 @@
 		if f.Bookmark == nil {
 			continue
 		}
+		if f.Bookmark.Diskless {
+			close(r.noDisks)
+			<-ctx.Done()
+			return false
+		}
 		r.line.Learn(f.Bookmark.Control)
 		api := r.line.API(addr)
 		if api == "" {
@@ -180,6 +191,8 @@
 	}
 }
 
+var errNoDisks = errors.New("no machine of the core has a disk")
+
 var errDial = errors.New("not connected")
 
 // never: a call that may have arrived is not sent again.
--- /dev/null
+++ b/cmd/vise/relay_test.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lichentray/internal/caliper"
+	"lichentray/internal/daemon"
+	"lichentray/internal/dowel"
+	"lichentray/internal/vicetest"
+)
+
+// core is a stand-in for a core node: it sends bookmarks to whoever follows it,
+// and answers calls by script.
+func core(t *testing.T, ip string, internal int, api string, diskless *atomic.Bool) {
+	ln, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, internal))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			raw, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				c, _, err := dowel.Accept(raw, time.Second)
+				for err == nil {
+					err = c.Send(&dowel.Frame{Bookmark: &dowel.Bookmark{Control: []dowel.ControlNode{{Addr: ln.Addr().String(), API: api}}, Diskless: diskless.Load()}})
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+}
+
+// TestRelay: calls and answers pass unchanged; a call that may have arrived is
+// never called undone, one without a target is; where no core machine has a disk
+// the node joins the core instead.
+func TestRelay(t *testing.T) {
+	ips := []string{"127.0.0.31", "127.0.0.32"}
+	control, internal := vicetest.FreePort(t, ips...), vicetest.FreePort(t, ips...)
+	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.URL.Query().Get("of") == "break" {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(409)
+		fmt.Fprintf(w, "%s %s %s", r.Method, r.URL.RequestURI(), body)
+	}))
+	defer api.Close()
+	var diskless atomic.Bool
+	core(t, ips[0], internal, strings.TrimPrefix(api.URL, "http://"), &diskless)
+	set := func(seed string) *caliper.Settings {
+		s := vicetest.Settings(t, ips[1], "", control, internal, []string{seed}, false)
+		s.QuorumMember = false
+		return s
+	}
+	start := func(s *caliper.Settings) (chan error, *daemon.Signals) {
+		sig := &daemon.Signals{Stop: make(chan struct{}), Changed: make(chan *caliper.Settings)}
+		ended := make(chan error, 1)
+		go func() { ended <- runRelay(s, slog.New(slog.NewTextHandler(io.Discard, nil)), sig) }()
+		return ended, sig
+	}
+	call := func(of string) (int, string) {
+		for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			r, err := http.Post(fmt.Sprintf("http://%s:%d/api/rpc?call=locks.begin&of=%s", ips[1], control, of), "application/json", strings.NewReader("{}"))
+			if err != nil || (r.StatusCode == 503 && time.Now().Before(end.Add(-5*time.Second))) {
+				if time.Now().After(end) {
+					t.Fatal("the relay never answered")
+				}
+				continue
+			}
+			body, _ := io.ReadAll(r.Body)
+			return r.StatusCode, string(body)
+		}
+	}
+	ended, sig := start(set(ips[0]))
+	if code, body := call("l"); code != 409 || body != "POST /api/rpc?call=locks.begin&of=l {}" {
+		t.Errorf("passed on: %d %s", code, body)
+	}
+	if code, _ := call("break"); code != 504 {
+		t.Errorf("a call without an answer: %d", code)
+	}
+	close(sig.Stop)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	diskless.Store(true)
+	ended, _ = start(set(ips[0]))
+	if err := <-ended; !errors.Is(err, errNoDisks) {
+		t.Errorf("beside a core without disks: %v", err)
+	}
+}
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -93,6 +93,9 @@
 	Round    *Round
 	Judged   bool // Verdicts are told
 	Verdicts []balance.Verdict
+	// Diskless tells that the sender keeps its log in memory: no machine of the
+	// core has a disk.
+	Diskless bool
 }
 
 // Report is what a proxy tells now and then. Its sequence dates the shares that
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -143,7 +143,7 @@
 	defer mark.Stop()
 	for !l.closing.Load() && l.fresh() {
 		l.mu.RLock()
-		b := &dowel.Bookmark{Control: l.control()}
+		b := &dowel.Bookmark{Control: l.control(), Diskless: l.set.DataDirectory == ""}
 		l.mu.RUnlock()
 		if conn.Send(&dowel.Frame{Bookmark: b}) != nil {
 			return
