Orders to empty or take back a zone are judged behind a read point

Cause, found by TestWorld after a start of all nodes: a node just back took a finish for one without a begin and acknowledged it without effect.

--- a/internal/lathe/world.go
+++ b/internal/lathe/world.go
@@ -101,6 +101,11 @@
 	if _, known := l.set.Zones[zone]; !known {
 		return notch.New(notch.BadRequest, "of: zone %q is not known", zone)
 	}
+	// Whether there is anything to write is judged by a state that holds all that
+	// was acknowledged before: a node that is just back knows of no evacuation.
+	if err := l.ReadPoint(); err != nil {
+		return err
+	}
 	key := rack.EvacPrefix + zone
 	wrote, err := l.transact(func() (*rack.Txn, error) {
 		o, there := l.store.Get(key)
@@ -119,10 +124,6 @@
 			Then: []rack.Write{{Key: key, Value: []byte(state)}},
 		}, nil
 	})
-	if err == nil && !wrote {
-		// That the order already holds was read here; a promise needs a majority.
-		err = l.ReadPoint()
-	}
 	if wrote {
 		l.log.Info("evacuation acknowledged", "zone", zone, "begin", begin)
 	}
