--- a/balance/judge.go
+++ b/balance/judge.go
@@ -133,8 +133,8 @@
 // Bad notes that an endpoint failed a request that it answered.
 func (p *Pool) Bad(e *Endpoint) { e.seen.Bad++ }
 
-// SetVerdicts takes what all nodes together make of the endpoints; it holds for
-// fresh, and for that long this node's own few samples do not count.
+// SetVerdicts takes what all nodes together make of the endpoints; it holds
+// until a moment, and till then this node's own few samples do not count.
 func (p *Pool) SetVerdicts(until time.Duration, of map[string]Verdict) {
 	p.judged = until
 	for _, e := range p.all {
--- a/cmd/vise/relay.go
+++ b/cmd/vise/relay.go
@@ -87,7 +87,7 @@
 // follow holds one core node and takes its bookmarks as proof that it is in
 // touch.
 func (r *relay) follow(ctx context.Context, set *caliper.Settings, log *slog.Logger) {
-	silence := min(set.Bounds.Drain.D(), set.Bounds.ConfigApply.D()) * 3 / 10
+	silence := set.Soonest() * 3 / 10
 	avoid := ""
 	for ctx.Err() == nil {
 		for _, addr := range r.line.Candidates(avoid) {
--- a/internal/caliper/caliper.go
+++ b/internal/caliper/caliper.go
@@ -186,6 +186,10 @@
 // the report that it answers, at the granter from when it was given.
 func (s *Settings) GrantLasts() time.Duration { return s.Bounds.Contact.D() * 2 / 3 }
 
+// Soonest is the shorter of the bounds within which a change must have reached
+// every node; what tells that a stream is alive is a part of it.
+func (s *Settings) Soonest() time.Duration { return min(s.Bounds.Drain.D(), s.Bounds.ConfigApply.D()) }
+
 // InternalAddr is the address of the control-plane node's internal port, given
 // any address of that machine.
 func (s *Settings) InternalAddr(control string) string {
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -52,7 +52,7 @@
 		Election:  contact / 10,
 		Dead:      contact / 2,
 		Silence:   contact / 4,
-		Bookmark:  min(s.Bounds.Drain.D(), s.Bounds.ConfigApply.D()) / 10,
+		Bookmark:  s.Soonest() / 10,
 		Answer:    min(s.Bounds.AckTimeout.D()/5, 900*time.Millisecond),
 		Window:    5 * time.Minute,
 		Missed:    s.HeartbeatEvery.D()*2 + contact/6,
--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -39,7 +39,7 @@
 // TimingOf derives the figures.
 func TimingOf(s *caliper.Settings) Timing {
 	contact := s.Bounds.Contact.D()
-	fast := min(s.Bounds.Drain.D(), s.Bounds.ConfigApply.D())
+	fast := s.Soonest()
 	return Timing{
 		Dial:       contact / 20,
 		Dark:       contact / 6,
--- a/internal/plane/upstream.go
+++ b/internal/plane/upstream.go
@@ -74,6 +74,11 @@
 func (s *shelf) drop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.empty()
+}
+
+// empty does what drop does, under the lock.
+func (s *shelf) empty() {
 	for _, u := range s.idle {
 		u.raw.Close()
 	}
@@ -99,10 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	for _, u := range s.idle {
-		u.raw.Close()
-	}
-	s.idle = nil
+	s.empty()
 }
 
 // silent tells that nothing has come on an idle connection: neither an end nor
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -249,7 +249,7 @@
 	Sequence uint64  `json:"sequence"`
 	ColdS    float64 `json:"cold_s,omitempty"`
 	// Cold stands from the beat that tells of it to the one that no longer does,
-	// where the service bounds what a cold endpoint gets.
+	// where the settings bound what a cold endpoint gets.
 	Cold bool `json:"cold,omitempty"`
 }
 
@@ -268,34 +268,28 @@
 func (p Proxy) Key() string { return ProxyPrefix + p.Name }
 
 // Encode writes the proxy as an object's value.
-func (p Proxy) Encode() []byte {
-	b, _ := json.Marshal(p) // a struct of plain fields always encodes
-	return b
-}
+func (p Proxy) Encode() []byte { return encode(p) }
 
 // DecodeProxy reads an object's value.
-func DecodeProxy(o Object) (Proxy, error) {
-	var p Proxy
-	if err := json.Unmarshal(o.Value, &p); err != nil {
-		return p, fmt.Errorf("rack: proxy %s: %w", o.Key, err)
-	}
-	return p, nil
-}
+func DecodeProxy(o Object) (Proxy, error) { return decode[Proxy](o) }
 
 // Key is where the endpoint stands.
 func (e Endpoint) Key() string { return EndpointPrefix + e.ID }
 
 // Encode writes the endpoint as an object's value.
-func (e Endpoint) Encode() []byte {
-	b, _ := json.Marshal(e) // a struct of plain fields always encodes
+func (e Endpoint) Encode() []byte { return encode(e) }
+
+// DecodeEndpoint reads an object's value.
+func DecodeEndpoint(o Object) (Endpoint, error) { return decode[Endpoint](o) }
+
+func encode(v any) []byte {
+	b, _ := json.Marshal(v) // a struct of plain fields always encodes
 	return b
 }
 
-// DecodeEndpoint reads an object's value.
-func DecodeEndpoint(o Object) (Endpoint, error) {
-	var e Endpoint
-	if err := json.Unmarshal(o.Value, &e); err != nil {
-		return e, fmt.Errorf("rack: endpoint %s: %w", o.Key, err)
+func decode[T any](o Object) (v T, err error) {
+	if err = json.Unmarshal(o.Value, &v); err != nil {
+		err = fmt.Errorf("rack: %s: %w", o.Key, err)
 	}
-	return e, nil
+	return v, err
 }
