--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -361,6 +361,9 @@
 		if err := l[0].Evacuate("b", begin); err != nil {
 			t.Error(err)
 		}
+		if err := l[0].ReadPoint(); err != nil {
+			t.Error(err)
+		}
 		l[0].mu.RLock()
 		defer l[0].mu.RUnlock()
 		o, _ := l[0].store.Get(rack.EvacPrefix + "b")
