--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -64,6 +64,7 @@
 	List    bool          // a list behind a read point, then the watch
 	Least   uint64        // the list or watch must reach this revision
 	Watch   bool          // events after Least
+	Packs   bool          // a list may come packed
 }
 
 // Answer answers an Ask.
@@ -77,6 +78,41 @@
 	Revision uint64
 	Objects  []rack.Object
 	Gone     bool
+	// Packed is Objects in the form that many askers share, see PackObjects.
+	Packed []byte
+}
+
+// PackObjects writes a list once for all who ask for it: of a large list most of
+// the work is to encode and compress it.
+func PackObjects(objects []rack.Object) ([]byte, error) {
+	var b bytes.Buffer
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&b)
+	if err := gob.NewEncoder(w).Encode(objects); err != nil {
+		return nil, fmt.Errorf("dowel: pack a list: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("dowel: pack a list: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// List gives the objects of an answer, packed or not.
+func (a *Answer) List() ([]rack.Object, error) {
+	if a.Packed == nil {
+		return a.Objects, nil
+	}
+	var out []rack.Object
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(a.Packed)), MaxFrame)
+	err := gob.NewDecoder(r).Decode(&out)
+	if err == nil {
+		_, err = io.Copy(io.Discard, r) // to its very end, or it was cut
+	}
+	if err != nil {
+		return nil, fmt.Errorf("dowel: unpack a list: %w", err)
+	}
+	return out, nil
 }
 
 // ControlNode is where a control-plane node is reached, and its zone if that is
@@ -238,7 +274,7 @@
 		return fmt.Errorf("dowel: frame of %d bytes is too large", len(b)-4)
 	}
 	head := uint32(len(b) - 4)
-	if len(b) > packFrom {
+	if len(b) > packFrom && (f.Answer == nil || f.Answer.Packed == nil) {
 		c.packed.Reset()
 		c.packed.Write([]byte{0, 0, 0, 0})
 		w := packers.Get().(*flate.Writer)
--- /dev/null
+++ b/internal/dowel/size_test.go
@@ -0,0 +1,123 @@
+package dowel
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"lichentray/balance"
+	"lichentray/rack"
+)
+
+// fleet makes what a node of a large deployment holds: a thousand endpoints and a
+// configuration of 680 routes.
+func fleet() (objects []rack.Object, verdicts []balance.Verdict) {
+	for i := range 1000 {
+		e := rack.Endpoint{
+			ID: fmt.Sprintf("i-%010x", uint64(i)*2654435761%(1<<40)), Service: fmt.Sprintf("service-%d", i%2), Address: fmt.Sprintf("10.%d.64.%d:8369", i%7+1, i%250),
+			Zone: fmt.Sprintf("zone-%d", i%7), Capacity: 3, Sequence: uint64(i % 9), ColdS: 0,
+		}
+		objects = append(objects, rack.Object{Key: e.Key(), Value: e.Encode(), CreateRevision: uint64(i), ModRevision: uint64(i)})
+		if i%4 != 0 {
+			verdicts = append(verdicts, balance.Verdict{Endpoint: e.ID, Pace: uint8(20 + i*7%40)})
+		}
+	}
+	text := `{"config_version":7,"listeners":[{"hostname":"h.example","rules":[`
+	for i := range 680 {
+		text += fmt.Sprintf(`{"name":"r-%x","route_type":"idempotent","target_latency_s":0.25,"priority":2,"match":{"path_prefix":"/p%x/"},"action":{"backend_service":"service-%d","timeout_s":0.6,"max_attempts":2}},`, i*7919, i*104729, i%2)
+	}
+	objects = append(objects, rack.Object{Key: rack.ConfigKey, Value: rack.EncodeConfig(7, []byte(text[:len(text)-1]+`]}]}`)), CreateRevision: 1, ModRevision: 1001})
+	return objects, verdicts
+}
+
+// sink is a connection that takes everything and counts it.
+type sink struct {
+	net.Conn
+	n int
+}
+
+func (s *sink) Write(b []byte) (int, error)      { s.n += len(b); return len(b), nil }
+func (s *sink) Read([]byte) (int, error)         { return 0, io.EOF }
+func (s *sink) SetWriteDeadline(time.Time) error { return nil }
+func (s *sink) Close() error                     { return nil }
+
+// TestSizeOfFrames bounds what one proxy is sent in a large deployment, where its
+// link carries some hundred kilobytes a second.
+func TestSizeOfFrames(t *testing.T) {
+	objects, verdicts := fleet()
+	packed, err := PackObjects(objects)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bookmark := &Bookmark{Revision: 5000, Proxies: 300, Loads: map[string]balance.Load{"service-0": {Rate: 4000, Inflight: 1500}, "service-1": {Rate: 400, Inflight: 120}}}
+	for range 7 {
+		bookmark.Control = append(bookmark.Control, ControlNode{Addr: "10.1.0.10:7720", API: "10.1.0.10:8166", Zone: "zone-1"})
+	}
+	judged := *bookmark
+	judged.Judged, judged.Verdicts = true, verdicts
+	change := rack.Event{Type: rack.Modified, Object: objects[7], Revision: 5001}
+	s := &sink{}
+	c := NewConn(s, time.Second)
+	for _, x := range []struct {
+		what string
+		f    *Frame
+		most int
+	}{
+		{"a list of a thousand endpoints and 680 routes", &Frame{Answer: &Answer{ID: 1, Revision: 5000, Packed: packed}}, 48 << 10},
+		{"a bookmark", &Frame{Bookmark: bookmark}, 600},
+		{"a bookmark with verdicts on three endpoints of four", &Frame{Bookmark: &judged}, 8 << 10},
+		{"one change", &Frame{Events: []rack.Event{change}, Bookmark: &Bookmark{Revision: 5001}}, 400},
+	} {
+		s.n = 0
+		if err := c.Send(x.f); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: %d bytes", x.what, s.n)
+		if s.n > x.most {
+			t.Errorf("%s takes %d bytes, over %d", x.what, s.n, x.most)
+		}
+	}
+	list, err := (&Answer{Packed: packed}).List()
+	if err != nil || !reflect.DeepEqual(list, objects) {
+		t.Errorf("a packed list comes back changed: %d of %d objects, %v", len(list), len(objects), err)
+	}
+	for _, cut := range []int{1, len(packed) / 2, len(packed) - 1} {
+		if _, err := (&Answer{Packed: packed[:cut]}).List(); err == nil {
+			t.Errorf("a packed list cut to %d bytes was taken", cut)
+		}
+	}
+}
+
+func BenchmarkList(b *testing.B) {
+	objects, _ := fleet()
+	send := func(b *testing.B, f func() *Answer) {
+		for b.Loop() {
+			if err := NewConn(&sink{}, time.Second).Send(&Frame{Answer: f()}); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.Run("for each", func(b *testing.B) { send(b, func() *Answer { return &Answer{ID: 1, Objects: objects} }) })
+	packed, _ := PackObjects(objects)
+	b.Run("shared", func(b *testing.B) { send(b, func() *Answer { return &Answer{ID: 1, Packed: packed} }) })
+	b.Run("read", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := (&Answer{Packed: packed}).List(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+func BenchmarkVerdicts(b *testing.B) {
+	_, verdicts := fleet()
+	c := NewConn(&sink{}, time.Second)
+	for b.Loop() {
+		if err := c.Send(&Frame{Bookmark: &Bookmark{Revision: 1, Judged: true, Verdicts: verdicts}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -148,10 +148,8 @@
 // byService lists the endpoints of each service.
 func (l *Lathe) byService() map[string][]string {
 	out := map[string][]string{}
-	for _, o := range l.store.List(rack.EndpointPrefix) {
-		if e, err := rack.DecodeEndpoint(o); err == nil {
-			out[e.Service] = append(out[e.Service], e.ID)
-		}
+	for _, e := range l.endpoints {
+		out[e.Service] = append(out[e.Service], e.ID)
 	}
 	return out
 }
@@ -294,13 +292,7 @@
 	if !l.node.InTouch(l.timing.Election) || now-l.leadSince < l.timing.Missed {
 		return
 	}
-	known := map[string]bool{}
-	for _, o := range l.store.List(rack.EndpointPrefix) {
-		e, err := rack.DecodeEndpoint(o)
-		if err != nil {
-			continue
-		}
-		known[e.ID] = true
+	for _, e := range l.endpoints {
 		seen, ok := l.alive[e.ID]
 		if !ok {
 			// First seen by this leader now.
@@ -311,10 +303,11 @@
 			continue
 		}
 		l.probing[e.ID] = true
+		o, _ := l.store.Get(e.Key())
 		go l.probe(o, e)
 	}
 	for id := range l.alive {
-		if !known[id] && now-l.alive[id] > l.timing.Missed {
+		if _, known := l.endpoints[rack.EndpointPrefix+id]; !known && now-l.alive[id] > l.timing.Missed {
 			delete(l.alive, id)
 		}
 	}
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -10,7 +10,6 @@
 	"math/rand"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,7 +125,11 @@
 	rounds   map[string]dowel.Round  // replaced whole
 	seen     map[string]balance.Seen // of endpoints, to be told to the leader
 	verdicts []balance.Verdict       // replaced whole
-	places   map[string]balance.Place
+	// What is kept decoded of the registry, by key; the actor alone writes it.
+	places    map[string]balance.Place
+	endpoints map[string]rack.Endpoint
+	// changedAt is the revision of the newest change of a watched object.
+	changedAt uint64
 	// Each zone's evacuation as last applied, and when its newest orders were.
 	orders  map[string]rack.Evacuation
 	ordered map[orderKind]time.Duration
@@ -135,10 +138,11 @@
 	compiledAt uint64
 
 	links   linkSet
+	packed  packedList
 	askSeq  atomic.Uint64
 	closing atomic.Bool
 
-	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nBeats, nRemoved, nApplied *dial.Counter
+	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nBeats, nRemoved, nApplied *dial.Counter
 }
 
 type proxyCount struct {
@@ -183,7 +187,7 @@
 		mail: make(chan func(), 1024), disk: make(chan diskJob, 4096), ctx: ctx, stop: stop, diskDone: make(chan struct{}), portDone: make(chan struct{}),
 		pending: map[uint64]waiter{}, reads: map[uint64]chan outcome{},
 		alive: map[string]time.Duration{}, probing: map[string]bool{}, counts: map[uint64]proxyCount{},
-		proxies: map[string]time.Duration{}, returning: map[string]mark{}, places: map[string]balance.Place{},
+		proxies: map[string]time.Duration{}, returning: map[string]mark{}, places: map[string]balance.Place{}, endpoints: map[string]rack.Endpoint{},
 		seen:  map[string]balance.Seen{},
 		store: rack.New(), locks: map[string]lockTimer{},
 		wake: map[chan struct{}]struct{}{}, groups: map[string]map[chan struct{}]struct{}{},
@@ -199,6 +203,7 @@
 	l.nDiskFail = board.Counter("disk_failures_total")
 	l.nBadPeer = board.Counter("bad_peers_total")
 	l.nRelist = board.Counter("watch_lists_total")
+	l.nPacked = board.Counter("watch_lists_encoded_total")
 	l.nBeats = board.Counter("beats_total")
 	l.nRemoved = board.Counter("endpoints_removed_total")
 	l.nApplied = board.Counter("applied_index")
@@ -250,7 +255,7 @@
 	}
 	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control}
 	l.cache.Reset(l.store.Revision())
-	l.readPlaces()
+	l.noteAll()
 	l.index = saved.Snapshot.Index
 	l.armLocks(0)
 	for _, e := range saved.Entries {
@@ -404,11 +409,7 @@
 			}
 			l.cache.Append(now, l.store.Revision(), events)
 			for _, e := range events {
-				if strings.HasPrefix(e.Object.Key, rack.ProxyPrefix) {
-					l.noteProxy(e)
-				} else if strings.HasPrefix(e.Object.Key, rack.EvacPrefix) {
-					l.noteOrder(e)
-				}
+				l.note(e)
 			}
 			if len(events) > 0 {
 				for ch := range l.wake {
@@ -447,14 +448,6 @@
 	}
 }
 
-// readPlaces reads the proxies' entries anew. The caller has the node's lock.
-func (l *Lathe) readPlaces() {
-	clear(l.places)
-	for _, o := range l.store.List(rack.ProxyPrefix) {
-		l.noteProxy(rack.Event{Type: rack.Added, Object: o})
-	}
-}
-
 func poke(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
@@ -488,7 +481,7 @@
 	err := l.store.Restore(s.Data)
 	if err == nil {
 		l.cache.Reset(l.store.Revision())
-		l.readPlaces()
+		l.noteAll()
 		l.index = s.Index
 		l.armLocks(l.now())
 		for ch := range l.wake {
--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 	"time"
 
@@ -237,7 +238,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Send(&dowel.Frame{Ask: &dowel.Ask{ID: 1, List: !m.Listed(), Watch: m.Listed(), Least: m.Revision()}}); err != nil {
+	if err := c.Send(&dowel.Frame{Ask: &dowel.Ask{ID: 1, List: !m.Listed(), Watch: m.Listed(), Least: m.Revision(), Packs: true}}); err != nil {
 		t.Fatal(err)
 	}
 	target := uint64(0)
@@ -252,7 +253,11 @@
 			}
 			target = a.Revision
 			if !m.Listed() {
-				if err := m.Reset(a.Revision, a.Objects); err != nil {
+				objects, err := a.List()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := m.Reset(a.Revision, objects); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -271,6 +276,82 @@
 	}
 }
 
+// TestManyProxiesAtOnce lets 300 proxies list a thousand endpoints at the same
+// moment, as after a loss of power: the list is encoded once for all of them, and
+// one change reaches each as one event. The figures do not depend on the machine.
+func TestManyProxiesAtOnce(t *testing.T) {
+	const proxies, endpoints = 300, 1000
+	g := newGroup(t, 1, nil)
+	l := g.nodes[0]
+	var all rack.Txn
+	for i := range endpoints {
+		e := rack.Endpoint{ID: fmt.Sprintf("i-%04d", i), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "z", Capacity: 3}
+		all.Then = append(all.Then, rack.Write{Key: e.Key(), Value: e.Encode()})
+	}
+	until(t, "a thousand endpoints are known", func() bool { _, err := l.Do(rack.Command{Txn: &all}); return err == nil })
+
+	type copyOf struct {
+		conn *dowel.Conn
+		m    *spool.Mirror
+	}
+	copies := make(chan copyOf, proxies)
+	for range proxies {
+		go func() {
+			c, m := follow(t, l.self.Addr, spool.NewMirror())
+			copies <- copyOf{c, m}
+		}()
+	}
+	var got []copyOf
+	for range proxies {
+		c := <-copies
+		t.Cleanup(c.conn.Close)
+		got = append(got, c)
+	}
+	if n := l.nPacked.Value(); n != 1 {
+		t.Errorf("one list was encoded %d times for %d proxies", n, proxies)
+	}
+	if l.nRelist.Value() != proxies {
+		t.Errorf("%d lists for %d proxies", l.nRelist.Value(), proxies)
+	}
+
+	drained := rack.Endpoint{ID: "i-0007", Service: "s", Address: "10.0.0.7:80", Zone: "z", Capacity: 3, Draining: true, Sequence: 1}
+	if err := l.Beat(drained); err != nil {
+		t.Fatal(err)
+	}
+	key := drained.Key()
+	want, _ := l.store.Get(key)
+	for i, c := range got {
+		events := 0
+		for c.m.Objects()[key].ModRevision != want.ModRevision {
+			f, err := c.conn.Receive(20 * time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, e := range f.Events {
+				events++
+				if _, err := c.m.Apply(e); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if events != 1 || len(c.m.Objects()) != endpoints {
+			t.Fatalf("proxy %d: %d events for one change, %d endpoints", i, events, len(c.m.Objects()))
+		}
+	}
+	// Who does not know the packed form, as an earlier version, gets the same list,
+	// and a list after a change is a new one.
+	_, m := follow(t, l.self.Addr, spool.NewMirror())
+	plain, _ := l.list(&dowel.Ask{ID: 1, List: true})
+	if len(plain.Objects) != endpoints || l.nPacked.Value() != 2 {
+		t.Errorf("%d endpoints unpacked, encoded %d times", len(plain.Objects), l.nPacked.Value())
+	}
+	for _, o := range plain.Objects {
+		if held := m.Objects()[o.Key]; !reflect.DeepEqual(held, o) {
+			t.Fatalf("packed %+v, plain %+v", held, o)
+		}
+	}
+}
+
 // TestWorld drives three nodes of a global tier: directory, leases of proxies,
 // cold marks, evacuations that outlive the loss of all processes.
 func TestWorld(t *testing.T) {
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -85,22 +86,66 @@
 	if err := l.ReadPoint(); err != nil {
 		return failed(a.ID, err), 0
 	}
+	if !a.Watch {
+		return l.list(a)
+	}
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	rev := l.store.Revision()
-	ans := &dowel.Answer{ID: a.ID, Revision: rev}
-	if rev < a.Least {
-		return failed(a.ID, notch.New(notch.Unavailable, "this node is at revision %d, behind %d", rev, a.Least)), 0
+	ans := &dowel.Answer{ID: a.ID, Revision: l.store.Revision()}
+	if ans.Revision < a.Least {
+		return l.behind(a, ans.Revision), 0
 	}
-	if a.Watch {
-		_, err := l.cache.Since(a.Least, 1)
-		ans.Gone = errors.Is(err, spool.ErrGone)
-		return ans, a.Least
+	_, err := l.cache.Since(a.Least, 1)
+	ans.Gone = errors.Is(err, spool.ErrGone)
+	return ans, a.Least
+}
+
+func (l *Lathe) behind(a *dowel.Ask, rev uint64) *dowel.Answer {
+	return failed(a.ID, notch.New(notch.Unavailable, "this node is at revision %d, behind %d", rev, a.Least))
+}
+
+// packedList is what proxies list, encoded once for all that ask while none of
+// its objects changes.
+type packedList struct {
+	mu   sync.Mutex
+	at   uint64 // the newest change of a watched object in it
+	data []byte
+}
+
+// list answers with all watched objects. After a loss of power every proxy asks at
+// the same moment; whoever comes while the list is encoded waits for it.
+func (l *Lathe) list(a *dowel.Ask) (*dowel.Answer, uint64) {
+	if a.Packs {
+		l.packed.mu.Lock()
+		defer l.packed.mu.Unlock()
+	}
+	l.mu.RLock()
+	rev, at := l.store.Revision(), l.changedAt
+	var objects []rack.Object
+	if rev >= a.Least && (!a.Packs || l.packed.data == nil || l.packed.at != at) {
+		for _, prefix := range watched {
+			objects = append(objects, l.store.List(prefix)...)
+		}
+	}
+	l.mu.RUnlock()
+	if rev < a.Least {
+		return l.behind(a, rev), 0
 	}
 	l.nRelist.Inc()
-	for _, prefix := range watched {
-		ans.Objects = append(ans.Objects, l.store.List(prefix)...)
+	ans := &dowel.Answer{ID: a.ID, Revision: rev}
+	if !a.Packs {
+		ans.Objects = objects
+		return ans, rev
+	}
+	if l.packed.data == nil || l.packed.at != at {
+		data, err := dowel.PackObjects(objects)
+		if err != nil {
+			return failed(a.ID, err), 0
+		}
+		l.packed.data, l.packed.at = data, at
+		l.nPacked.Inc()
 	}
+	ans.Packed = l.packed.data
 	return ans, rev
 }
 
--- a/internal/lathe/world.go
+++ b/internal/lathe/world.go
@@ -1,6 +1,8 @@
 package lathe
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"lichentray/balance"
@@ -55,7 +57,40 @@
 	return err
 }
 
-// noteProxy takes a change of a proxy's entry. The caller has the node's lock.
+// note takes a change of the registry into what the node keeps decoded of it.
+// The caller has the node's lock.
+func (l *Lathe) note(e rack.Event) {
+	switch key := e.Object.Key; {
+	case strings.HasPrefix(key, rack.ProxyPrefix):
+		l.noteProxy(e)
+	case strings.HasPrefix(key, rack.EvacPrefix):
+		l.noteOrder(e)
+	case strings.HasPrefix(key, rack.EndpointPrefix):
+		delete(l.endpoints, key)
+		if e.Type == rack.Deleted {
+			break
+		}
+		if p, err := rack.DecodeEndpoint(e.Object); err == nil {
+			l.endpoints[key] = p
+		}
+	}
+	if isWatched(e.Object.Key) {
+		l.changedAt = e.Revision
+	}
+}
+
+// noteAll does so for a state taken whole. The caller has the node's lock.
+func (l *Lathe) noteAll() {
+	clear(l.places)
+	clear(l.endpoints)
+	for _, prefix := range [...]string{rack.ProxyPrefix, rack.EvacPrefix, rack.EndpointPrefix} {
+		for _, o := range l.store.List(prefix) {
+			l.note(rack.Event{Type: rack.Added, Object: o})
+		}
+	}
+	l.changedAt = l.store.Revision()
+}
+
 func (l *Lathe) noteProxy(e rack.Event) {
 	if e.Type == rack.Deleted {
 		delete(l.places, e.Object.Key)
@@ -154,7 +189,6 @@
 	})
 }
 
-// noteOrder takes a change of a zone's evacuation. The caller has the node's lock.
 func (l *Lathe) noteOrder(e rack.Event) {
 	order := rack.DecodeEvacuation(e.Object)
 	was := l.orders[e.Object.Key]
@@ -242,9 +276,8 @@
 	evac := l.evacuations()
 	var byZone, byRegion map[string][]string
 	var all []string
-	for _, o := range l.store.List(rack.EndpointPrefix) {
-		e, err := rack.DecodeEndpoint(o)
-		if err != nil || e.Draining || (!e.Cold && evac[e.Zone] != rack.Returning) {
+	for _, e := range l.endpoints {
+		if e.Draining || (!e.Cold && evac[e.Zone] != rack.Returning) {
 			continue
 		}
 		c, ok := l.cluster(e.Service)
@@ -274,6 +307,7 @@
 		b := l.set.Bounds
 		out = append(out, balance.Cold{ID: e.ID, Rate: c.ColdRateS, Bound: 0.9 * (c.ColdRateS*b.ColdOvershoot + b.ColdSlack), Near: near})
 	}
+	slices.SortFunc(out, func(a, b balance.Cold) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -66,7 +66,7 @@
 	}
 	defer conn.Close()
 	conn.WriteTimeout = p.timing.Silence
-	ask := &dowel.Ask{ID: 1, Least: p.mirror.Revision(), Watch: p.mirror.Listed(), List: !p.mirror.Listed()}
+	ask := &dowel.Ask{ID: 1, Least: p.mirror.Revision(), Watch: p.mirror.Listed(), List: !p.mirror.Listed(), Packs: true}
 	for {
 		if err := conn.Send(&dowel.Frame{Ask: ask}); err != nil {
 			return err
@@ -80,12 +80,16 @@
 			return errQuiet
 		}
 		if a.Gone {
-			ask = &dowel.Ask{ID: ask.ID + 1, Least: p.mirror.Revision(), List: true}
+			ask = &dowel.Ask{ID: ask.ID + 1, Least: p.mirror.Revision(), List: true, Packs: true}
 			continue
 		}
 		if ask.List {
 			p.n.lists.Inc()
-			if err := p.mirror.Reset(a.Revision, a.Objects); err != nil {
+			objects, err := a.List()
+			if err != nil {
+				return err
+			}
+			if err := p.mirror.Reset(a.Revision, objects); err != nil {
 				return err
 			}
 			p.rebuild()
