--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -352,6 +353,35 @@
 	}
 }
 
+// TestPeerThatShowsItself: a link that waits before its next attempt dials at once
+// when the peer connects here, as after a loss of power.
+func TestPeerThatShowsItself(t *testing.T) {
+	g := newGroup(t, 1, func(s *caliper.Settings) { s.Bounds.Contact = 1200 }) // an attempt every 12 s and more
+	l := g.nodes[0]
+	addr := fmt.Sprintf("127.0.0.50:%d", vicetest.FreePort(t, "127.0.0.50"))
+	k := l.links.get(addr) // refused
+	time.Sleep(200 * time.Millisecond)
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	if err := ln.(*net.TCPListener).SetDeadline(time.Now().Add(8 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	peer, err := dowel.Dial(context.Background(), l.self.Addr, time.Second, dowel.Hello{Role: dowel.Peer, Node: "peer", ID: 7, Addr: addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(peer.Close)
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatalf("not dialled when the peer showed itself: %v", err)
+	}
+	t.Cleanup(func() { c.Close() })
+	until(t, "the link is up", func() bool { k.mu.Lock(); defer k.mu.Unlock(); return k.up })
+}
+
 // TestWorld drives three nodes of a global tier: directory, leases of proxies,
 // cold marks, evacuations that outlive the loss of all processes.
 func TestWorld(t *testing.T) {
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -22,6 +22,7 @@
 	mu    sync.Mutex
 	asks  map[uint64]chan *dowel.Answer
 	up    bool
+	kick  chan struct{} // the peer has shown itself
 	ctx   context.Context
 	stop  context.CancelFunc
 }
@@ -92,7 +93,7 @@
 	defer s.mu.Unlock()
 	k := s.byAddr[addr]
 	if k == nil {
-		k = &link{addr: addr, queue: make(chan *dowel.Frame, 256), asks: map[uint64]chan *dowel.Answer{}}
+		k = &link{addr: addr, queue: make(chan *dowel.Frame, 256), asks: map[uint64]chan *dowel.Answer{}, kick: make(chan struct{}, 1)}
 		k.ctx, k.stop = context.WithCancel(s.l.ctx)
 		s.byAddr[addr] = k
 		go s.l.turnLink(k)
@@ -171,15 +172,61 @@
 	}
 }
 
+// shows lets the link to a peer that has just connected here be dialled at once:
+// an attempt that began while its machine had no power hangs for long, and one that
+// was refused waits.
+func (s *linkSet) shows(addr string) {
+	s.mu.Lock()
+	k := s.byAddr[addr]
+	s.mu.Unlock()
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.up {
+		select {
+		case k.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// dial makes one attempt. shown tells that it was given up because the peer has
+// shown itself meanwhile.
+func (l *Lathe) dial(k *link) (conn *dowel.Conn, shown bool, err error) {
+	ctx, cancel := context.WithCancel(k.ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-k.kick:
+			shown = true
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	conn, err = dowel.Dial(ctx, k.addr, l.timing.Silence/2, dowel.Hello{Role: dowel.Peer, Node: l.set.NodeName, ID: l.self.ID, Addr: l.self.Addr, Zone: l.set.Zone})
+	cancel()
+	<-done
+	return conn, shown, err
+}
+
 // turnLink keeps one link up.
 func (l *Lathe) turnLink(k *link) {
 	backoff := l.timing.Heartbeat / 2
 	for {
-		conn, err := dowel.Dial(k.ctx, k.addr, l.timing.Silence/2, dowel.Hello{Role: dowel.Peer, Node: l.set.NodeName, ID: l.self.ID, Addr: l.self.Addr, Zone: l.set.Zone})
+		conn, shown, err := l.dial(k)
 		if err != nil {
+			if shown {
+				continue
+			}
 			select {
 			case <-k.ctx.Done():
 				return
+			case <-k.kick:
+				backoff = l.timing.Heartbeat / 2
+				continue
 			case <-time.After(backoff + time.Duration(rand.Int63n(int64(backoff)))):
 			}
 			backoff = min(backoff*2, l.timing.Election)
@@ -287,6 +334,7 @@
 func (l *Lathe) servePeer(conn *dowel.Conn, h dowel.Hello) {
 	l.links.note(h.ID, h.Addr)
 	l.links.noteZone(h.Addr, h.Zone)
+	l.links.shows(h.Addr)
 	for {
 		f, err := conn.Receive(0)
 		if err != nil {
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -67,7 +67,7 @@
 		if r = p.awaitView(ctx); r == nil {
 			p.refuse(ctx, notch.New(notch.Unavailable, "no configuration yet"))
 			// The first view comes soon after a start, or not for long.
-			ctx.Response.Header.Set("Retry-After", seconds(2*p.timing.Dial+p.timing.Dial*time.Duration(rand.Intn(100))/100))
+			ctx.Response.Header.Set("Retry-After", seconds(p.timing.Dial+p.timing.Dial*time.Duration(rand.Intn(100))/100))
 			return
 		}
 	}
@@ -91,7 +91,7 @@
 // awaitView lets a request that came before the first view wait a moment for
 // it, while that still leaves the client its time to ask elsewhere.
 func (p *Plane) awaitView(ctx *fasthttp.RequestCtx) *routing {
-	wait := p.timing.Dial / 2
+	wait := p.timing.Dial
 	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek("X-Deadline"))); err == nil {
 		wait = min(wait, time.Duration(ms)*time.Millisecond/10)
 	}
