--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -88,12 +88,17 @@
 	p.forward(&req)
 }
 
-// awaitView lets a request that came before the first view wait a moment for
-// it, while that still leaves the client its time to ask elsewhere.
+// awaitView lets a request that came before the first view wait for it. The view
+// comes soon after a start, so one that came right after it is worth holding for
+// a fair part of its time: a client that has been refused may not come back. Later
+// there is none to come soon, and it is told at once.
 func (p *Plane) awaitView(ctx *fasthttp.RequestCtx) *routing {
-	wait := p.timing.Dial
+	wait, part := p.timing.Dial, time.Duration(10)
+	if young := p.timing.Call - p.now(); young > wait {
+		wait, part = young, 4
+	}
 	if ms, err := strconv.Atoi(string(ctx.Request.Header.Peek("X-Deadline"))); err == nil {
-		wait = min(wait, time.Duration(ms)*time.Millisecond/10)
+		wait = min(wait, time.Duration(ms)*time.Millisecond/part)
 	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -119,6 +119,52 @@
 	return p, f
 }
 
+// TestFirstView: a request that comes right after the start waits for the first
+// view and is served; one that comes when none is to come soon is refused with a
+// time to come back.
+func TestFirstView(t *testing.T) {
+	e := newEndpoint(t, func(int, string) string { return ok("x") })
+	set := vicetest.Settings(t, "127.0.0.1", "", 1, 2, []string{"127.0.0.1"}, false)
+	set.Bounds.Contact, set.Bounds.ConfigApply, set.Bounds.Drain = 6, 40, 40 // a view within 10 s of the start
+	open := func(began time.Duration) (*Plane, string) {
+		p := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), dial.NewBoard())
+		p.start = p.start.Add(-began)
+		ln, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := NewFront(p, ln)
+		go func() { _ = f.Run() }()
+		t.Cleanup(func() { ln.Close() })
+		return p, ln.Addr().String()
+	}
+	p, addr := open(0)
+	_, longAgo := open(time.Hour)
+
+	get := "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nX-Deadline: %d\r\n\r\n"
+	got := make(chan int, 1)
+	go func() { got <- send(t, addr, fmt.Sprintf(get, 60000), 1)[0].StatusCode }()
+	for p.n.requests.Value() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, deadline := range []int{4, 400} {
+		r := send(t, addr, fmt.Sprintf(get, deadline), 1)[0]
+		if r.StatusCode != 503 || r.Header.Get("Retry-After") == "" {
+			t.Errorf("deadline of %d ms without a view: %d, Retry-After %q", deadline, r.StatusCode, r.Header.Get("Retry-After"))
+		}
+	}
+	if r := send(t, longAgo, fmt.Sprintf(get, 60000), 1)[0]; r.StatusCode != 503 {
+		t.Errorf("long after the start: %d", r.StatusCode)
+	}
+	// By now the first request has waited for longer than a late one would.
+	x := rack.Endpoint{ID: "i-0", Service: "s", Address: e.ln.Addr().String(), Zone: "a", Capacity: 4}
+	p.takeObject(rack.Object{Key: x.Key(), Value: x.Encode()}, false)
+	p.takeObject(rack.Object{Key: rack.ConfigKey, Value: append(make([]byte, 8), routes...)}, false)
+	if code := <-got; code != 200 {
+		t.Errorf("the request that came right after the start: %d", code)
+	}
+}
+
 // send writes raw bytes and reads all answers until the node closes or the
 // number wanted is there.
 func send(t *testing.T, addr, raw string, want int) []*http.Response {
