--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -65,6 +65,7 @@
 	Least   uint64        // the list or watch must reach this revision
 	Watch   bool          // events after Least
 	Packs   bool          // a list may come packed
+	Zone    string        // a list may be refused in favour of a node in this zone
 }
 
 // Answer answers an Ask.
@@ -78,6 +79,9 @@
 	Revision uint64
 	Objects  []rack.Object
 	Gone     bool
+	// Nearer, in place of a list, names the core, which has a node in the zone asked
+	// from.
+	Nearer []ControlNode
 	// Packed is Objects in the form that many askers share, see PackObjects.
 	Packed []byte
 }
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -142,7 +142,7 @@
 	askSeq  atomic.Uint64
 	closing atomic.Bool
 
-	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nBeats, nRemoved, nApplied *dial.Counter
+	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nMoved, nBeats, nRemoved, nApplied *dial.Counter
 }
 
 type proxyCount struct {
@@ -204,6 +204,7 @@
 	l.nBadPeer = board.Counter("bad_peers_total")
 	l.nRelist = board.Counter("watch_lists_total")
 	l.nPacked = board.Counter("watch_lists_encoded_total")
+	l.nMoved = board.Counter("watch_lists_sent_nearer_total")
 	l.nBeats = board.Counter("beats_total")
 	l.nRemoved = board.Counter("endpoints_removed_total")
 	l.nApplied = board.Counter("applied_index")
--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -353,6 +353,37 @@
 	}
 }
 
+// TestListsAreSpread: a proxy that would list at a node of another zone is sent to
+// the one of its own while that is up, and lists where it is otherwise.
+func TestListsAreSpread(t *testing.T) {
+	zones := map[string]string{"z1": "r", "z2": "r", "z3": "r"}
+	g := newGroup(t, 3, func(s *caliper.Settings) {
+		s.Zones, s.Zone = zones, fmt.Sprint("z", s.IP[len(s.IP)-1:])
+	})
+	l := g.nodes
+	until(t, "a configuration is taken", func() bool { return l[0].Replace([]byte(fmt.Sprintf(text, 1))) == nil })
+	ask := func(zone string) *dowel.Answer {
+		a, _ := l[0].open(&dowel.Ask{ID: 1, List: true, Packs: true, Zone: zone})
+		return a
+	}
+	until(t, "a proxy of another zone is sent there", func() bool {
+		for _, n := range ask("z3").Nearer {
+			if n.Addr == l[2].self.Addr && n.Zone == "z3" {
+				return true
+			}
+		}
+		return false
+	})
+	for _, zone := range []string{"", "z1", "z9"} {
+		if a := ask(zone); a.Failed || a.Nearer != nil || a.Packed == nil {
+			t.Errorf("asked from zone %q: failed %v, sent to %v", zone, a.Failed, a.Nearer)
+		}
+	}
+	l[2].Close()
+	until(t, "with its node gone the proxy lists here", func() bool { a := ask("z3"); return !a.Failed && a.Packed != nil })
+	g.start(2, false)
+}
+
 // TestPeerThatShowsItself: a link that waits before its next attempt dials at once
 // when the peer connects here, as after a loss of power.
 func TestPeerThatShowsItself(t *testing.T) {
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -172,6 +172,19 @@
 	}
 }
 
+// isUp tells whether the link to a peer is connected.
+func (s *linkSet) isUp(addr string) bool {
+	s.mu.Lock()
+	k := s.byAddr[addr]
+	s.mu.Unlock()
+	if k == nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.up
+}
+
 // shows lets the link to a peer that has just connected here be dialled at once:
 // an attempt that began while its machine had no power hangs for long, and one that
 // was refused waits.
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -73,7 +73,7 @@
 		if conn.Send(&dowel.Frame{Answer: ans}) != nil || ans.Failed {
 			return
 		}
-		if !ans.Gone {
+		if !ans.Gone && ans.Nearer == nil {
 			started = true
 			go l.stream(conn, s, after, gone)
 		}
@@ -83,9 +83,16 @@
 // open answers the first call of a proxy: a list behind a read point, or a
 // watch from a revision that this node must have reached.
 func (l *Lathe) open(a *dowel.Ask) (*dowel.Answer, uint64) {
+	// At the first moment not every node's zone may be known, so it is looked twice.
+	if n := l.nearer(a); n != nil {
+		return &dowel.Answer{ID: a.ID, Nearer: n}, 0
+	}
 	if err := l.ReadPoint(); err != nil {
 		return failed(a.ID, err), 0
 	}
+	if n := l.nearer(a); n != nil {
+		return &dowel.Answer{ID: a.ID, Nearer: n}, 0
+	}
 	if !a.Watch {
 		return l.list(a)
 	}
@@ -100,6 +107,24 @@
 	return ans, a.Least
 }
 
+// nearer names the core to a proxy that would list here while a node of its own
+// zone is up. A proxy that has just started knows the seeds alone; after a loss of
+// power all of them would list at the seed that is back first.
+func (l *Lathe) nearer(a *dowel.Ask) []dowel.ControlNode {
+	if !a.List || a.Zone == "" || a.Zone == l.set.Zone {
+		return nil
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for _, m := range l.view.members.All() {
+		if l.links.zone(m.Addr) == a.Zone && l.links.isUp(m.Addr) {
+			l.nMoved.Inc()
+			return l.control()
+		}
+	}
+	return nil
+}
+
 func (l *Lathe) behind(a *dowel.Ask, rev uint64) *dowel.Answer {
 	return failed(a.ID, notch.New(notch.Unavailable, "this node is at revision %d, behind %d", rev, a.Least))
 }
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -67,6 +67,9 @@
 	defer conn.Close()
 	conn.WriteTimeout = p.timing.Silence
 	ask := &dowel.Ask{ID: 1, Least: p.mirror.Revision(), Watch: p.mirror.Listed(), List: !p.mirror.Listed(), Packs: true}
+	if !p.movedOnce {
+		ask.Zone = p.set.Zone
+	}
 	for {
 		if err := conn.Send(&dowel.Frame{Ask: ask}); err != nil {
 			return err
@@ -79,6 +82,11 @@
 		if a == nil || a.Failed {
 			return errQuiet
 		}
+		if a.Nearer != nil {
+			p.line.Learn(a.Nearer)
+			p.movedOnce = true
+			return errNearer
+		}
 		if a.Gone {
 			ask = &dowel.Ask{ID: ask.ID + 1, Least: p.mirror.Revision(), List: true, Packs: true}
 			continue
