--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -64,7 +64,7 @@
 	List    bool          // a list behind a read point, then the watch
 	Least   uint64        // the list or watch must reach this revision
 	Watch   bool          // events after Least
-	Packs   bool          // a list may come packed
+	Packs   bool          // a list, and later events, may come packed
 	Zone    string        // a list may be refused in favour of a node in this zone
 }
 
@@ -82,39 +82,42 @@
 	// Nearer, in place of a list, names the core, which has a node in the zone asked
 	// from.
 	Nearer []ControlNode
-	// Packed is Objects in the form that many askers share, see PackObjects.
+	// Packed is Objects in the form that many askers share, see Pack.
 	Packed []byte
 }
 
-// PackObjects writes a list once for all who ask for it: of a large list most of
-// the work is to encode and compress it.
-func PackObjects(objects []rack.Object) ([]byte, error) {
+// List gives the objects of an answer, packed or not.
+func (a *Answer) List() ([]rack.Object, error) {
+	if a.Packed == nil {
+		return a.Objects, nil
+	}
+	return unpack[rack.Object](a.Packed)
+}
+
+// Pack writes what many connections are sent once for all of them: of a large list
+// or event most of the work, and of the memory, is to encode and compress it.
+func Pack[T rack.Object | rack.Event](items []T) ([]byte, error) {
 	var b bytes.Buffer
 	w := packers.Get().(*flate.Writer)
 	defer packers.Put(w)
 	w.Reset(&b)
-	if err := gob.NewEncoder(w).Encode(objects); err != nil {
-		return nil, fmt.Errorf("dowel: pack a list: %w", err)
+	err := gob.NewEncoder(w).Encode(items)
+	if err == nil {
+		err = w.Close()
 	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("dowel: pack a list: %w", err)
+	if err != nil {
+		return nil, fmt.Errorf("dowel: pack: %w", err)
 	}
 	return b.Bytes(), nil
 }
 
-// List gives the objects of an answer, packed or not.
-func (a *Answer) List() ([]rack.Object, error) {
-	if a.Packed == nil {
-		return a.Objects, nil
-	}
-	var out []rack.Object
-	r := io.LimitReader(flate.NewReader(bytes.NewReader(a.Packed)), MaxFrame)
-	err := gob.NewDecoder(r).Decode(&out)
-	if err == nil {
+func unpack[T rack.Object | rack.Event](b []byte) (out []T, err error) {
+	r := io.LimitReader(flate.NewReader(bytes.NewReader(b)), MaxFrame)
+	if err = gob.NewDecoder(r).Decode(&out); err == nil {
 		_, err = io.Copy(io.Discard, r) // to its very end, or it was cut
 	}
 	if err != nil {
-		return nil, fmt.Errorf("dowel: unpack a list: %w", err)
+		return nil, fmt.Errorf("dowel: unpack: %w", err)
 	}
 	return out, nil
 }
@@ -166,8 +169,21 @@
 	Proxies  *ProxyCount
 	Ack      uint64 // revision that a proxy has applied
 	Report   *Report
+	// PackedEvents is Events in the form that many watchers share, see Pack.
+	PackedEvents []byte
+}
+
+// TakeEvents gives the events of a frame, packed or not.
+func (f *Frame) TakeEvents() ([]rack.Event, error) {
+	if f.PackedEvents == nil {
+		return f.Events, nil
+	}
+	return unpack[rack.Event](f.PackedEvents)
 }
 
+// PackFrom is from which size on frames are worth packing.
+const PackFrom = 8 << 10
+
 // ProxyCount tells the leader which proxies watch at a node, and the others the
 // sum over all.
 type ProxyCount struct {
@@ -180,11 +196,8 @@
 	Verdicts []balance.Verdict
 }
 
-// Frames from packFrom bytes on are compressed; packedBit in the length tells.
-const (
-	packFrom  = 8 << 10
-	packedBit = 1 << 31
-)
+// packedBit in the length tells that a frame is compressed.
+const packedBit = 1 << 31
 
 var packers = sync.Pool{New: func() any {
 	w, _ := flate.NewWriter(nil, flate.BestSpeed) // the level is valid
@@ -278,7 +291,7 @@
 		return fmt.Errorf("dowel: frame of %d bytes is too large", len(b)-4)
 	}
 	head := uint32(len(b) - 4)
-	if len(b) > packFrom && (f.Answer == nil || f.Answer.Packed == nil) {
+	if len(b) > PackFrom && f.PackedEvents == nil && (f.Answer == nil || f.Answer.Packed == nil) {
 		c.packed.Reset()
 		c.packed.Write([]byte{0, 0, 0, 0})
 		w := packers.Get().(*flate.Writer)
@@ -302,7 +315,7 @@
 		c.raw.Close()
 		return fmt.Errorf("dowel: send: %w", err)
 	}
-	if c.out.Cap() > 16*packFrom { // a list or a large configuration; not kept
+	if c.out.Cap() > 16*PackFrom { // a list or a large configuration; not kept
 		c.out, c.packed = bytes.Buffer{}, bytes.Buffer{}
 		c.out.Grow(1 << 10)
 	}
--- a/internal/dowel/size_test.go
+++ b/internal/dowel/size_test.go
@@ -48,7 +48,7 @@
 // link carries some hundred kilobytes a second.
 func TestSizeOfFrames(t *testing.T) {
 	objects, verdicts := fleet()
-	packed, err := PackObjects(objects)
+	packed, err := Pack(objects)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,7 +101,7 @@
 		}
 	}
 	b.Run("for each", func(b *testing.B) { send(b, func() *Answer { return &Answer{ID: 1, Objects: objects} }) })
-	packed, _ := PackObjects(objects)
+	packed, _ := Pack(objects)
 	b.Run("shared", func(b *testing.B) { send(b, func() *Answer { return &Answer{ID: 1, Packed: packed} }) })
 	b.Run("read", func(b *testing.B) {
 		for b.Loop() {
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -138,7 +138,7 @@
 	compiledAt uint64
 
 	links   linkSet
-	packed  packedList
+	packed  packed
 	askSeq  atomic.Uint64
 	closing atomic.Bool
 
@@ -205,6 +205,7 @@
 	l.nRelist = board.Counter("watch_lists_total")
 	l.nPacked = board.Counter("watch_lists_encoded_total")
 	l.nMoved = board.Counter("watch_lists_sent_nearer_total")
+	l.packed.encoded = board.Counter("watch_events_encoded_total")
 	l.nBeats = board.Counter("beats_total")
 	l.nRemoved = board.Counter("endpoints_removed_total")
 	l.nApplied = board.Counter("applied_index")
--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -263,7 +264,11 @@
 				}
 			}
 		}
-		for _, e := range f.Events {
+		events, err := f.TakeEvents()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range events {
 			if _, err := m.Apply(e); err != nil {
 				t.Fatal(err)
 			}
@@ -339,11 +344,43 @@
 			t.Fatalf("proxy %d: %d events for one change, %d endpoints", i, events, len(c.m.Objects()))
 		}
 	}
+	// A large configuration is encoded once for all of them, too.
+	var routes strings.Builder
+	for i := range 2000 {
+		fmt.Fprintf(&routes, `{"name":"r%d","route_type":"idempotent","match":{"path_prefix":"/p%d/"},"action":{"backend_service":"s","timeout_s":1,"max_attempts":2}},`, i, i*7919)
+	}
+	large := fmt.Sprintf(`{"config_version":9,"listeners":[{"hostname":"h","rules":[%s]}],"clusters":[{"name":"s","health_check_path":"/health"}]}`, strings.TrimSuffix(routes.String(), ","))
+	if err := l.Replace([]byte(large)); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range got {
+		for c.m.Objects()[rack.ConfigKey].ModRevision == 0 {
+			f, err := c.conn.Receive(20 * time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			events, err := f.TakeEvents()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, e := range events {
+				if _, err := c.m.Apply(e); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if _, held, _ := rack.DecodeConfig(c.m.Objects()[rack.ConfigKey]); string(held) != large {
+			t.Fatalf("proxy %d holds %d bytes of a configuration of %d", i, len(held), len(large))
+		}
+	}
+	if n := l.packed.encoded.Value(); n != 1 {
+		t.Errorf("one configuration was encoded %d times for %d proxies", n, proxies)
+	}
 	// Who does not know the packed form, as an earlier version, gets the same list,
 	// and a list after a change is a new one.
 	_, m := follow(t, l.self.Addr, spool.NewMirror())
 	plain, _ := l.list(&dowel.Ask{ID: 1, List: true})
-	if len(plain.Objects) != endpoints || l.nPacked.Value() != 2 {
+	if len(plain.Objects) != endpoints+1 || l.nPacked.Value() != 2 {
 		t.Errorf("%d endpoints unpacked, encoded %d times", len(plain.Objects), l.nPacked.Value())
 	}
 	for _, o := range plain.Objects {
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lichentray/balance"
+	"lichentray/internal/dial"
 	"lichentray/internal/dowel"
 	"lichentray/internal/notch"
 	"lichentray/rack"
@@ -75,7 +76,7 @@
 		}
 		if !ans.Gone && ans.Nearer == nil {
 			started = true
-			go l.stream(conn, s, after, gone)
+			go l.stream(conn, s, after, f.Ask.Packs, gone)
 		}
 	}
 }
@@ -129,12 +130,41 @@
 	return failed(a.ID, notch.New(notch.Unavailable, "this node is at revision %d, behind %d", rev, a.Least))
 }
 
-// packedList is what proxies list, encoded once for all that ask while none of
-// its objects changes.
-type packedList struct {
+// packed is what proxies list, encoded once for all that ask while none of its
+// objects changes, and the newest large events that they are sent.
+type packed struct {
 	mu   sync.Mutex
 	at   uint64 // the newest change of a watched object in it
 	data []byte
+
+	eventsMu           sync.Mutex
+	first, last, count uint64 // of the events
+	eventsData         []byte
+	encoded            *dial.Counter
+}
+
+// events lets a frame of large events be encoded once for all watchers. Each that
+// encodes 400 KB of configuration for itself holds a megabyte while it does.
+func (p *packed) events(f *dowel.Frame) {
+	size := 0
+	for _, e := range f.Events {
+		size += len(e.Object.Value) + len(e.Patch)
+	}
+	if size < dowel.PackFrom {
+		return
+	}
+	first, last, n := f.Events[0].Revision, f.Events[len(f.Events)-1].Revision, uint64(len(f.Events))
+	p.eventsMu.Lock()
+	defer p.eventsMu.Unlock()
+	if p.eventsData == nil || p.first != first || p.last != last || p.count != n {
+		p.encoded.Inc()
+		data, err := dowel.Pack(f.Events)
+		if err != nil {
+			return // it goes as it is
+		}
+		p.first, p.last, p.count, p.eventsData = first, last, n, data
+	}
+	f.Events, f.PackedEvents = nil, p.eventsData
 }
 
 // list answers with all watched objects. After a loss of power every proxy asks at
@@ -163,7 +193,7 @@
 		return ans, rev
 	}
 	if l.packed.data == nil || l.packed.at != at {
-		data, err := dowel.PackObjects(objects)
+		data, err := dowel.Pack(objects)
 		if err != nil {
 			return failed(a.ID, err), 0
 		}
@@ -231,7 +261,7 @@
 
 // stream sends events as they come and bookmarks while this node is in touch
 // with the newest state; without them the proxy looks for another node.
-func (l *Lathe) stream(conn *dowel.Conn, s *session, after uint64, gone chan struct{}) {
+func (l *Lathe) stream(conn *dowel.Conn, s *session, after uint64, packs bool, gone chan struct{}) {
 	defer conn.Close()
 	wake := make(chan struct{}, 1)
 	l.mu.Lock()
@@ -268,7 +298,11 @@
 				}
 			}
 			after = events[n-1].Revision
-			if conn.Send(&dowel.Frame{Events: out, Bookmark: &dowel.Bookmark{Revision: after}}) != nil {
+			f := &dowel.Frame{Events: out, Bookmark: &dowel.Bookmark{Revision: after}}
+			if packs {
+				l.packed.events(f)
+			}
+			if conn.Send(f) != nil {
 				return
 			}
 			continue
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -115,7 +115,11 @@
 		if err != nil {
 			return err
 		}
-		for _, e := range f.Events {
+		events, err := f.TakeEvents()
+		if err != nil {
+			return err
+		}
+		for _, e := range events {
 			if err := p.takeEvent(e); err != nil {
 				p.mirror.Forget()
 				return err
