--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand"
 	"net"
 	"sync"
@@ -335,8 +336,8 @@
 
 func (l *Lathe) refusePeer(raw net.Conn, err error) {
 	var ne net.Error
-	if errors.As(err, &ne) {
-		return // silence or a broken connection is no bad peer
+	if errors.As(err, &ne) || errors.Is(err, io.EOF) {
+		return // silence, a broken connection, or one given up before its first byte
 	}
 	l.nBadPeer.Inc()
 	if l.nBadPeer.Value() == 1 {
