--- a/internal/plane/plane.go
+++ b/internal/plane/plane.go
@@ -204,21 +204,11 @@
 // machine's link with a relay of the control plane, whose calls are small and
 // urgent, and the zones have so many proxies that one is not missed.
 func (p *Plane) standsBack() bool {
-	return p.sharing.Load() && p.many()
-}
-
-// many tells whether the zones have so many proxies that one of them says little.
-func (p *Plane) many() bool {
-	return int(p.proxies.Load()) >= plenty*max(1, len(p.set.Zones))
+	return p.sharing.Load() && int(p.proxies.Load()) >= plenty*max(1, len(p.set.Zones))
 }
 
 const plenty = 10
 
-// byZone tells whether loads are told by zone: with several regions, and where
-// what one proxy has at its zone's endpoints does not tell it that the zone is
-// full while the next one has room.
-func (p *Plane) byZone() bool { return len(p.region) > 1 || (len(p.set.Zones) > 1 && p.many()) }
-
 // LookForRelay notices whether a relay runs on this machine, until the context
 // ends. Relays run on machines that hold no disk of the core; they take
 // connections at the internal port as a core node would.
@@ -592,8 +582,8 @@
 // inZone names the load of a service in one zone.
 func inZone(service, zone string) string { return service + "\x00" + zone }
 
-// report gives what this node asks of each service, for the sum over all; where
-// loads are told by zone, for each zone as well.
+// report gives what this node asks of each service, for the sum over all; with
+// more than one region, for each zone as well.
 func (p *Plane) report(span time.Duration) *dowel.Report {
 	out := map[string]balance.Load{}
 	seen := map[string]balance.Seen{}
@@ -607,7 +597,7 @@
 			clear(s.recent)
 		}
 		out[name] = s.share.Own()
-		if p.byZone() {
+		if len(p.region) > 1 {
 			for _, e := range s.pool.Endpoints() {
 				if n := e.Inflight(); n > 0 {
 					key := inZone(name, e.Zone)
@@ -687,7 +677,7 @@
 			s.mu.Unlock()
 		}
 	}
-	if !p.byZone() {
+	if len(p.region) < 2 {
 		return
 	}
 	for name, s := range p.services {
