--- a/clamp/node.go
+++ b/clamp/node.go
@@ -16,6 +16,9 @@
 	ackedAt  time.Duration // last time match moved or was whole
 	context  uint64
 	snapshot bool
+	// What was sent anew after the newest rejection, and when.
+	anewFrom, anewThrough uint64
+	anewAt                time.Duration
 }
 
 type pendingRead struct {
@@ -710,7 +713,13 @@
 		if m.Index == 0 || m.Index < p.match {
 			return
 		}
+		// A peer that was away rejects each of the appends that were on their way;
+		// the first rejection has everything sent anew, the others are of before.
+		if m.Index >= p.anewFrom && m.Index <= p.anewThrough && n.now-p.anewAt <= 3*n.cfg.Heartbeat {
+			return
+		}
 		p.next = max(p.match+1, min(m.Hint+1, m.Index))
+		p.anewFrom, p.anewThrough, p.anewAt = p.next, n.last(), n.now
 		p.snapshot = false
 		n.append(m.From)
 		return
--- /dev/null
+++ b/clamp/reject_test.go
@@ -0,0 +1,91 @@
+package clamp_test
+
+import (
+	"testing"
+	"time"
+
+	"lichentray/clamp"
+)
+
+// TestRejectionsSendOnce: a member misses the first of many appends that are on
+// their way and rejects each of the others. It is sent the log once, not once for
+// each rejection, and has all of it in the end.
+func TestRejectionsSendOnce(t *testing.T) {
+	members := clamp.Membership{Voters: []clamp.Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+	nodes := map[uint64]*clamp.Node{}
+	for id := uint64(1); id <= 3; id++ {
+		nodes[id] = clamp.New(clamp.Config{ID: id, Heartbeat: 100 * time.Millisecond, Election: time.Second, Rand: func(n int64) int64 {
+			if id == 1 {
+				return 0 // it stands first
+			}
+			return n - 1
+		}}, 0, clamp.Saved{Snapshot: clamp.Snapshot{Members: members}})
+	}
+	var now time.Duration
+	var toThird []clamp.Message // what member 3 is sent, while it is held back
+	held, sent := false, 0
+	pump := func() {
+		for more := true; more; {
+			more = false
+			for id := uint64(1); id <= 3; id++ {
+				e := nodes[id].Ready()
+				out := e.Send
+				if e.Write != nil {
+					out = append(out, e.Write.After...)
+					if n := len(e.Write.Entries); n > 0 {
+						last := e.Write.Entries[n-1]
+						nodes[id].Persisted(last.Index, last.Term)
+					}
+					more = true
+				}
+				for _, m := range out {
+					more = true
+					if m.To == 3 && m.Type == clamp.MsgAppend {
+						sent += len(m.Entries)
+						if held {
+							toThird = append(toThird, m)
+							continue
+						}
+					}
+					nodes[m.To].Step(now, m)
+				}
+			}
+		}
+	}
+	for ; nodes[1].Role() != clamp.Leader && now < 30*time.Second; now += 10 * time.Millisecond {
+		for id := uint64(1); id <= 3; id++ {
+			nodes[id].Tick(now)
+		}
+		pump()
+	}
+	if nodes[1].Role() != clamp.Leader {
+		t.Fatal("nobody leads")
+	}
+	const n = 300
+	held, sent = true, 0
+	for range n {
+		if _, _, ok := nodes[1].Propose([]byte("x")); !ok {
+			t.Fatal("not proposed")
+		}
+		pump()
+	}
+	// The first hundred are lost, the others arrive before any answer is heard.
+	held = false
+	for _, m := range toThird[min(100, len(toThird)-1):] {
+		nodes[3].Step(now, m)
+	}
+	pump()
+	for range 50 {
+		now += 10 * time.Millisecond
+		for id := uint64(1); id <= 3; id++ {
+			nodes[id].Tick(now)
+		}
+		pump()
+	}
+	if nodes[3].Last() != nodes[1].Last() {
+		t.Errorf("member 3 has the log up to %d of %d", nodes[3].Last(), nodes[1].Last())
+	}
+	if sent > 3*n {
+		t.Errorf("%d entries were sent for %d", sent, n)
+	}
+}
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -451,9 +451,28 @@
 	return err
 }
 
+// readConfig reads and checks a configuration, one at a time: to check one of 2000
+// routes takes some ten megabytes and longer than a storm leaves between two, and
+// whoever has waited for too long is better off at another node.
+func (l *Lathe) readConfig(text []byte) (*jig.Configuration, error) {
+	wait := time.NewTimer(l.timing.Answer)
+	defer wait.Stop()
+	select {
+	case l.checking <- struct{}{}:
+		defer func() { <-l.checking }()
+		return jig.Read(text)
+	case <-wait.C:
+		l.nBusy.Inc()
+		return nil, notch.New(notch.Unavailable, "too many configurations at once")
+	}
+}
+
 // Replace takes a whole configuration.
 func (l *Lathe) Replace(text []byte) error {
-	c, err := jig.Read(text)
+	c, err := l.readConfig(text)
+	if notch.Of(err) == notch.Unavailable {
+		return err
+	}
 	if err != nil {
 		return notch.New(notch.Invalid, "%v", err)
 	}
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -137,12 +137,14 @@
 	compiled   *jig.Table
 	compiledAt uint64
 
-	links   linkSet
-	packed  packed
-	askSeq  atomic.Uint64
-	closing atomic.Bool
+	links  linkSet
+	packed packed
+	// checking holds one token for whoever checks a configuration.
+	checking chan struct{}
+	askSeq   atomic.Uint64
+	closing  atomic.Bool
 
-	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nMoved, nBeats, nRemoved, nApplied *dial.Counter
+	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nMoved, nBusy, nBeats, nRemoved, nApplied *dial.Counter
 }
 
 type proxyCount struct {
@@ -192,7 +194,7 @@
 		store: rack.New(), locks: map[string]lockTimer{},
 		wake: map[chan struct{}]struct{}{}, groups: map[string]map[chan struct{}]struct{}{},
 		applied: map[chan struct{}]uint64{}, sessions: map[*session]struct{}{}, beats: map[string]time.Duration{},
-		orders: map[string]rack.Evacuation{}, ordered: map[orderKind]time.Duration{},
+		orders: map[string]rack.Evacuation{}, ordered: map[orderKind]time.Duration{}, checking: make(chan struct{}, 1),
 	}
 	l.cache = spool.NewCacher(l.timing.Window, 20000, int(set.Limits.MemoryMB*(1<<20))/12)
 	l.nProposals = board.Counter("proposals_total")
@@ -206,6 +208,7 @@
 	l.nPacked = board.Counter("watch_lists_encoded_total")
 	l.nMoved = board.Counter("watch_lists_sent_nearer_total")
 	l.packed.encoded = board.Counter("watch_events_encoded_total")
+	l.nBusy = board.Counter("configurations_put_off_total")
 	l.nBeats = board.Counter("beats_total")
 	l.nRemoved = board.Counter("endpoints_removed_total")
 	l.nApplied = board.Counter("applied_index")
--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -390,6 +390,34 @@
 	}
 }
 
+// TestOneCheckAtATime: a storm of configurations is checked one by one; who waits
+// for too long is put off with a promise, and nothing is stored.
+func TestOneCheckAtATime(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	l := g.nodes[0]
+	until(t, "a configuration is taken", func() bool { return l.Replace([]byte(fmt.Sprintf(text, 5))) == nil })
+	l.checking <- struct{}{} // somebody's check takes long
+	if err := l.Replace([]byte(fmt.Sprintf(text, 6))); notch.Of(err) != notch.Unavailable {
+		t.Errorf("while another is checked: %v", err)
+	}
+	if got, err := l.Configuration(); err != nil || string(got) != fmt.Sprintf(text, 5) {
+		t.Errorf("held is %q, %v", got, err)
+	}
+	<-l.checking
+	done := make(chan error, 8)
+	for v := range 8 {
+		go func() { done <- l.Replace([]byte(fmt.Sprintf(text, 7+v))) }()
+	}
+	for range 8 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	if got, err := l.Configuration(); err != nil || string(got) != fmt.Sprintf(text, 14) || l.nBusy.Value() != 1 {
+		t.Errorf("held is %q, %v; %d put off", got, err, l.nBusy.Value())
+	}
+}
+
 // TestListsAreSpread: a proxy that would list at a node of another zone is sent to
 // the one of its own while that is up, and lists where it is otherwise.
 func TestListsAreSpread(t *testing.T) {
