--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -109,6 +109,11 @@
 	for range 100 { // a budget in hand for further tries
 		p.services["s"].budget.Request()
 	}
+	return p, openFront(t, p)
+}
+
+// openFront lets a proxy node take requests on the loopback.
+func openFront(t *testing.T, p *Plane) *Front {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -116,7 +121,7 @@
 	f := NewFront(p, ln)
 	go func() { _ = f.Run() }()
 	t.Cleanup(func() { ln.Close() })
-	return p, f
+	return f
 }
 
 // TestFirstView: a request that comes right after the start waits for the first
@@ -129,14 +134,7 @@
 	open := func(began time.Duration) (*Plane, string) {
 		p := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), dial.NewBoard())
 		p.start = p.start.Add(-began)
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		f := NewFront(p, ln)
-		go func() { _ = f.Run() }()
-		t.Cleanup(func() { ln.Close() })
-		return p, ln.Addr().String()
+		return p, openFront(t, p).ln.Addr().String()
 	}
 	p, addr := open(0)
 	_, longAgo := open(time.Hour)
