--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -176,8 +176,9 @@
 	}
 	l.mu.RLock()
 	rev, at := l.store.Revision(), l.changedAt
+	held := a.Packs && l.packed.data != nil && l.packed.at == at
 	var objects []rack.Object
-	if rev >= a.Least && (!a.Packs || l.packed.data == nil || l.packed.at != at) {
+	if rev >= a.Least && !held {
 		for _, prefix := range watched {
 			objects = append(objects, l.store.List(prefix)...)
 		}
@@ -192,7 +193,7 @@
 		ans.Objects = objects
 		return ans, rev
 	}
-	if l.packed.data == nil || l.packed.at != at {
+	if !held {
 		data, err := dowel.Pack(objects)
 		if err != nil {
 			return failed(a.ID, err), 0
