Leases are reckoned from when a question was sent; a version is known by its content

Cause (by reading): a node counted as in touch when it had read anything from its leader lately. What had waited in a socket during a freeze counted, so did a mute node and one that had not applied what the leader had committed, and bookmarks said so to proxies. A version not above the one held was acknowledged whatever its content was. Change: heartbeats and their answers carry the sender's steady time and echo the other's; clamp.Node.TouchedAt tells up to when all that was acknowledged is applied here. A call to a leader that is deposed, or whose link breaks, goes to the next one within its time; one that nobody waits for is not sent late. The digest of what was taken under a version is kept in the registry, in the same transaction; another content gets 409.

--- a/clamp/election.go
+++ b/clamp/election.go
@@ -33,23 +33,6 @@
 	n.reset(leader)
 }
 
-// InTouch tells whether a leader has heard from a majority within span.
-func (n *Node) InTouch(span time.Duration) bool {
-	if n.role != Leader {
-		return false
-	}
-	count := 0
-	voters := n.Members().Voters
-	for _, m := range voters {
-		if m.ID == n.cfg.ID {
-			count++
-		} else if p := n.peers[m.ID]; p != nil && n.now-p.heardAt <= span {
-			count++
-		}
-	}
-	return count > len(voters)/2
-}
-
 // Campaign makes a voter stand for election now.
 func (n *Node) Campaign() {
 	if n.role != Leader && n.Members().Voter(n.cfg.ID) {
--- /dev/null
+++ b/clamp/lease.go
@@ -0,0 +1,85 @@
+package clamp
+
+import (
+	"slices"
+	"time"
+)
+
+// Leases: how long ago a node was in touch with a majority.
+//
+// Each is reckoned by one node's own steady clock, from when a question was sent to
+// when it is looked at, never from when an answer was read: what waited in a socket
+// while the process was frozen, or went one way only, proves nothing newer. No time
+// of one clock is compared with one of another, and the time of day is not used.
+
+// touch is a leader's word to a follower: whoever holds the log up to commit held
+// all that was acknowledged anywhere before at, by the follower's clock.
+type touch struct {
+	at     time.Duration
+	commit uint64
+}
+
+// TouchedAt is the newest moment, by this node's steady clock, for which it is known
+// that all that had been acknowledged by then is applied here; 0 if there is none
+// yet. At a leader a majority has answered a heartbeat sent then; at a follower a
+// leader in touch with a majority has heard what was sent then, and the follower has
+// applied what that leader had committed. It is exact at a leader and may err by one
+// election time-out at a follower, whose leader may have been deposed for so long.
+func (n *Node) TouchedAt() time.Duration { return n.touchedAt }
+
+// InTouch tells whether a majority has answered a heartbeat that this leader sent
+// within span.
+func (n *Node) InTouch(span time.Duration) bool {
+	return n.role == Leader && n.now-n.quorumAt() <= span
+}
+
+// quorumAt is the newest moment for which a majority of the voters has answered a
+// heartbeat that this leader sent then or later.
+func (n *Node) quorumAt() time.Duration {
+	voters := n.Members().Voters
+	if len(voters) == 0 {
+		return 0
+	}
+	at := make([]time.Duration, 0, len(voters))
+	for _, m := range voters {
+		switch p := n.peers[m.ID]; {
+		case m.ID == n.cfg.ID:
+			at = append(at, n.now)
+		case p != nil:
+			at = append(at, p.askedAt)
+		default:
+			at = append(at, 0)
+		}
+	}
+	slices.Sort(at)
+	return at[(len(at)-1)/2]
+}
+
+// noteTouch takes what a heartbeat proves.
+func (n *Node) noteTouch(m Message) {
+	if !m.Touch || m.Echo == 0 {
+		return
+	}
+	n.lastTouch = touch{m.Echo, m.Index}
+	if n.touching.at == 0 {
+		n.touching = n.lastTouch
+	}
+}
+
+// settleTouch counts what is proven by now.
+func (n *Node) settleTouch() {
+	if n.role == Leader {
+		if n.commit >= n.termStart && n.applied >= n.commit {
+			n.touchedAt = max(n.touchedAt, n.quorumAt())
+		}
+		return
+	}
+	for n.touching.at != 0 && n.applied >= n.touching.commit {
+		n.touchedAt = max(n.touchedAt, n.touching.at)
+		if n.touching == n.lastTouch {
+			n.touching = touch{}
+		} else {
+			n.touching = n.lastTouch
+		}
+	}
+}
--- a/clamp/node.go
+++ b/clamp/node.go
@@ -13,6 +13,9 @@
 
 	leader      uint64
 	heardAt     time.Duration // from the leader
+	touchedAt   time.Duration // see TouchedAt
+	touching    touch         // the oldest proof that waits for what it asks to be applied
+	lastTouch   touch         // the newest one
 	deadline    time.Duration // of the election timer
 	votes       map[uint64]bool
 	forced      bool
@@ -79,9 +82,6 @@
 // Last is the last index of the log.
 func (n *Node) Last() uint64 { return n.last() }
 
-// HeardAt is when a follower last heard from its leader.
-func (n *Node) HeardAt() time.Duration { return n.heardAt }
-
 // LogSize is how many entries the log holds past its snapshot.
 func (n *Node) LogSize() int { return len(n.entries) }
 
@@ -117,12 +117,10 @@
 }
 
 func (n *Node) tickLeader() {
-	if n.now >= n.deadline { // CheckQuorum
-		n.deadline = n.now + n.cfg.Election
-		if !n.InTouch(n.cfg.Election) {
-			n.become(Follower, n.hard.Term, 0)
-			return
-		}
+	// CheckQuorum: by now every other voter's election timer has run out.
+	if !n.InTouch(2 * n.cfg.Election) {
+		n.become(Follower, n.hard.Term, 0)
+		return
 	}
 	if n.transferTo != 0 && n.now-n.transferAt > n.cfg.Election {
 		n.transferTo = 0
@@ -208,7 +206,8 @@
 			n.stepAppend(m)
 		case MsgHeartbeat:
 			n.commitTo(min(m.Commit, n.last()))
-			resp := Message{Type: MsgHeartbeatResp, To: m.From, Context: m.Context, Index: n.last()}
+			n.noteTouch(m)
+			resp := Message{Type: MsgHeartbeatResp, To: m.From, Context: m.Context, Index: n.last(), Sent: n.now, Echo: m.Sent}
 			if n.hardDirty {
 				n.outAfter(resp)
 			} else {
@@ -228,8 +227,10 @@
 	}
 }
 
-// Ready hands out what is to be done since the last call.
+// Ready hands out what is to be done since the last call. What earlier calls handed
+// out as committed counts as applied.
 func (n *Node) Ready() Effects {
+	n.settleTouch()
 	if n.role == Leader {
 		if len(n.reads) > 0 && n.reads[len(n.reads)-1].seq > n.seq {
 			n.seq++
--- a/clamp/replication.go
+++ b/clamp/replication.go
@@ -12,6 +12,8 @@
 	next     uint64
 	sentAt   time.Duration // last append or snapshot
 	heardAt  time.Duration
+	askedAt  time.Duration // when the newest heartbeat that was answered was sent
+	theirs   time.Duration // the newest time of its own clock that was heard
 	ackedAt  time.Duration // last time match moved or was whole
 	context  uint64
 	snapshot bool
@@ -41,6 +43,7 @@
 
 func (n *Node) beat() {
 	n.beatAt = n.now
+	touch := n.commit >= n.termStart && n.InTouch(n.cfg.Election)
 	for _, m := range n.Members().All() {
 		if m.ID == n.cfg.ID {
 			continue
@@ -53,14 +56,15 @@
 				n.append(m.ID)
 			}
 		}
-		n.out(Message{Type: MsgHeartbeat, To: m.ID, Commit: min(n.commit, p.match), Context: n.seq})
+		n.out(Message{Type: MsgHeartbeat, To: m.ID, Commit: min(n.commit, p.match), Context: n.seq,
+			Index: n.commit, Sent: n.now, Echo: p.theirs, Touch: touch})
 	}
 }
 
 func (n *Node) peer(id uint64) *progress {
 	p := n.peers[id]
 	if p == nil {
-		p = &progress{next: n.last() + 1, heardAt: n.now, ackedAt: n.now}
+		p = &progress{next: n.last() + 1, heardAt: n.now, askedAt: n.now, ackedAt: n.now}
 		n.peers[id] = p
 	}
 	return p
@@ -147,6 +151,7 @@
 	}
 	p.heardAt = n.now
 	if m.Type == MsgHeartbeatResp {
+		p.askedAt, p.theirs = max(p.askedAt, m.Echo), max(p.theirs, m.Sent)
 		if m.Context > p.context {
 			p.context = m.Context
 			n.releaseReads()
--- a/clamp/types.go
+++ b/clamp/types.go
@@ -130,6 +130,12 @@
 	Hint    uint64
 	Context uint64
 	Force   bool // a vote asked for by the leader itself
+	// Sent is when a heartbeat or its answer was sent, by the sender's steady clock,
+	// and Echo the newest Sent of the receiver that had reached the sender by then.
+	Sent, Echo time.Duration
+	// Touch tells that the leader that sends a heartbeat has committed in its term
+	// and that a majority answered it within its lease.
+	Touch   bool
 	Entries []Entry
 	Snap    *Snapshot
 }
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -26,7 +26,7 @@
 )
 
 // Version is the wire's version. Nodes of different versions do not talk.
-const Version = 2
+const Version = 3
 
 // MaxFrame bounds one frame.
 const MaxFrame = 32 << 20
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -49,6 +49,10 @@
 	}
 }
 
+// acceptedMost is for how many versions it is remembered what was taken under them:
+// a day and a half of 5,500 changes a day, some 200 bytes each.
+const acceptedMost = 8192
+
 // trim forgets history that nobody may ask for any more.
 func (l *Lathe) trim(now time.Duration) {
 	keep := l.set.Bounds.HistoryRetention.D() * 3 / 2
@@ -75,6 +79,13 @@
 			drop.Then = append(drop.Then, rack.Write{Key: o.Key, Delete: true})
 		}
 	}
+	// So are digests of configurations, by number.
+	if marks := l.store.List(rack.AcceptedPrefix); len(marks) > acceptedMost {
+		for _, o := range marks[:len(marks)-acceptedMost] {
+			drop.If = append(drop.If, rack.Condition{Key: o.Key, ModRevision: o.ModRevision})
+			drop.Then = append(drop.Then, rack.Write{Key: o.Key, Delete: true})
+		}
+	}
 	if len(drop.Then) > 0 {
 		l.node.Propose(rack.EncodeCommand(rack.Command{Txn: &drop}))
 	}
@@ -209,7 +220,7 @@
 		asked[a] = true
 		go func() {
 			// Refused or unheard, it is asked again at the next duty.
-			_, _, _ = l.links.ask(a, &dowel.Ask{Join: &self}, l.timing.Election)
+			_, _, _ = l.links.ask(aim{leader: a}, &dowel.Ask{Join: &self}, l.timing.Election)
 		}()
 	}
 }
@@ -361,18 +372,16 @@
 		return
 	}
 	done := make(chan outcome, 1)
-	at := make(chan string, 1)
-	l.post(func() {
+	remove := func() string {
 		if l.now()-l.alive[e.ID] <= l.timing.Missed {
-			at <- "" // it has beaten in the meantime
-			return
+			return "" // it has beaten in the meantime
 		}
-		at <- l.propose(rack.Command{Txn: &rack.Txn{
+		return l.propose(rack.Command{Txn: &rack.Txn{
 			If:   []rack.Condition{{Key: o.Key, ModRevision: o.ModRevision}},
 			Then: []rack.Write{{Key: o.Key, Delete: true}},
 		}}, done)
-	})
-	if a := l.await(0, at, done); !a.Failed && !a.Result.Conflict {
+	}
+	if a := l.await(0, remove, done); !a.Failed && !a.Result.Conflict {
 		l.nRemoved.Inc()
 		l.log.Info("endpoint removed, no beats and no answer to a probe", "endpoint", e.ID, "service", e.Service)
 	}
@@ -425,6 +434,7 @@
 func (l *Lathe) Beat(e rack.Endpoint) error {
 	l.nBeats.Inc()
 	gone := rack.DepartedPrefix + e.ID
+	astray := l.outOfTouch() > l.timing.Silence
 	_, err := l.transact(func() (*rack.Txn, error) {
 		if _, departed := l.store.Get(gone); departed {
 			return nil, nil // a late beat of a life that has signed off
@@ -447,6 +457,10 @@
 			return nil, notch.New(notch.Internal, "%v", err)
 		}
 		if old.Draining || (!e.Draining && (old.Cold == e.Cold || e.Sequence < old.Sequence)) {
+			if astray && !old.Draining {
+				// The leader would not hear of it and think the endpoint dead.
+				return nil, notch.New(notch.Unavailable, "this node has lost touch")
+			}
 			return nil, nil // an ordinary beat, or a late one: no write
 		}
 		old.Draining, old.Sequence, old.Cold = e.Draining, e.Sequence, e.Cold
@@ -503,21 +517,18 @@
 	if err != nil {
 		return notch.New(notch.Invalid, "%v", err)
 	}
-	value := rack.EncodeConfig(c.Version, text)
 	wrote, err := l.transact(func() (*rack.Txn, error) {
-		o, _ := l.store.Get(rack.ConfigKey)
-		if held, _, ok := rack.DecodeConfig(o); ok && held >= c.Version {
-			return nil, nil // what is held is committed, and it is not older
-		}
-		w := rack.Write{Key: rack.ConfigKey, Value: value}
-		if o.ModRevision > 0 {
-			// The whole object is replaced; what is logged and sent is the difference.
-			if d := rack.Delta(o.Value, value); len(d) < len(value)/2 {
-				w.Value, w.Patch = d, true
-			}
+		// What is judged is committed, if not the newest: that a content was taken
+		// under a version stays true, and to take one asks for the newest.
+		txn, err := l.store.AcceptConfig(c.Version, text)
+		if err != nil {
+			return nil, notch.New(notch.Conflict, "%v", err)
 		}
-		return &rack.Txn{If: []rack.Condition{{Key: rack.ConfigKey, ModRevision: o.ModRevision}}, Then: []rack.Write{w}}, nil
+		return txn, nil
 	})
+	if notch.Of(err) == notch.Conflict {
+		l.nTaken.Inc()
+	}
 	if wrote {
 		l.log.Info("configuration acknowledged", "version", c.Version)
 	}
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -100,6 +100,7 @@
 	leadSince time.Duration
 	role      clamp.Role
 	leader    uint64
+	turned    chan struct{} // closed, and made anew, when role or leader changes
 	logBytes  int
 	checkedAt time.Duration
 	trimAt    time.Duration
@@ -153,7 +154,7 @@
 	askSeq   atomic.Uint64
 	closing  atomic.Bool
 
-	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nMoved, nBusy, nBeats, nRemoved, nApplied *dial.Counter
+	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nMoved, nBusy, nTaken, nBeats, nRemoved, nApplied *dial.Counter
 }
 
 type proxyCount struct {
@@ -177,14 +178,14 @@
 
 // view is what other goroutines need to know of the consensus state.
 type view struct {
-	role     clamp.Role
-	leader   uint64
-	term     uint64
-	leaderAt string // internal address
-	freshAt  time.Duration
-	members  clamp.Membership
-	commit   uint64
-	stable   uint64
+	role      clamp.Role
+	leader    uint64
+	term      uint64
+	leaderAt  string        // internal address
+	touchedAt time.Duration // see clamp.Node.TouchedAt
+	members   clamp.Membership
+	commit    uint64
+	stable    uint64
 }
 
 func memberID(addr string) uint64 {
@@ -208,6 +209,7 @@
 		wake: map[chan struct{}]struct{}{}, groups: map[string]map[chan struct{}]struct{}{},
 		applied: map[chan struct{}]uint64{}, sessions: map[*session]struct{}{}, beats: map[string]time.Duration{},
 		orders: map[string]rack.Evacuation{}, ordered: map[orderKind]time.Duration{}, checking: make(chan struct{}, 1),
+		turned: make(chan struct{}),
 	}
 	l.cache = spool.NewCacher(l.timing.Window, 20000, int(set.Limits.MemoryMB*(1<<20))/12)
 	l.nProposals = board.Counter("proposals_total")
@@ -222,6 +224,7 @@
 	l.nMoved = board.Counter("watch_lists_sent_nearer_total")
 	l.packed.encoded = board.Counter("watch_events_encoded_total")
 	l.nBusy = board.Counter("configurations_put_off_total")
+	l.nTaken = board.Counter("configurations_taken_otherwise_total")
 	l.nBeats = board.Counter("beats_total")
 	l.nRemoved = board.Counter("endpoints_removed_total")
 	l.nApplied = board.Counter("applied_index")
@@ -375,6 +378,9 @@
 	now := l.now()
 	role, leader := n.Role(), n.Leader()
 	if role != l.role || leader != l.leader {
+		// Whoever waits for the old leader's answer waits in vain.
+		close(l.turned)
+		l.turned = make(chan struct{})
 		if role == clamp.Leader && l.role != clamp.Leader {
 			l.leadSince = now
 			l.nElections.Inc()
@@ -396,17 +402,8 @@
 	}
 	v := view{role: role, leader: leader, term: n.Term(), members: ms, commit: n.Commit(), stable: n.Stable()}
 	v.leaderAt = l.links.addr(leader)
-	if role == clamp.Leader {
-		if n.InTouch(l.timing.Election) {
-			v.freshAt = now
-		}
-	} else if leader != 0 {
-		v.freshAt = n.HeardAt()
-	}
+	v.touchedAt = n.TouchedAt()
 	l.mu.Lock()
-	if v.freshAt == 0 {
-		v.freshAt = l.view.freshAt
-	}
 	l.view = v
 	l.mu.Unlock()
 }
@@ -672,54 +669,98 @@
 	}
 }
 
-// Do puts a command through the log, here or at the leader. An error of kind
-// Unavailable promises that nothing was done.
+// aim is whom a call goes to: the leader's address, or none, and what is closed when
+// another leads.
+type aim struct {
+	leader string
+	turned chan struct{}
+}
+
+// ask hands f, which gives the leader's address, to the actor.
+func (l *Lathe) ask(f func() string) (aim, error) {
+	at := make(chan aim, 1)
+	if !l.post(func() { at <- aim{f(), l.turned} }) {
+		return aim{}, notch.New(notch.Unavailable, "node is stopping")
+	}
+	return <-at, nil
+}
+
+// again tells whether a call that met no leader waits a moment and tries once more.
+// A node that has been out of touch for long says so at once.
+func (l *Lathe) again(end time.Time) bool {
+	if time.Until(end) < l.timing.Answer/2 || l.outOfTouch() > 2*l.timing.Answer {
+		return false
+	}
+	time.Sleep(l.timing.Tick)
+	return true
+}
+
+// Do puts a command through the log, here or at the leader, within Timing.Answer. An
+// error of kind Unavailable promises that nothing was done and never will be; one of
+// kind Unknown promises nothing.
+//
+// A command whose leader went silent, or that stopped leading, is sent once more to
+// the next leader, so it may be carried out twice. That is the same as once for each
+// kind: a transaction asks for revisions that it changes itself, a put is known by
+// its value, a begin and a renewal by their holder, to finish twice does nothing
+// more, a number drawn twice leaves a gap, an account's records have numbers.
 func (l *Lathe) Do(cmd rack.Command) (rack.Result, error) {
 	end := time.Now().Add(l.timing.Answer)
 	var data []byte
+	unknown := false
 	for {
 		done := make(chan outcome, 1)
-		at := make(chan string, 1)
-		if !l.post(func() { at <- l.propose(cmd, done) }) {
-			return rack.Result{}, notch.New(notch.Unavailable, "node is stopping")
+		to, err := l.ask(func() string { return l.propose(cmd, done) })
+		if err != nil {
+			return rack.Result{}, err
 		}
-		leader := <-at
-		switch leader {
+		switch to.leader {
 		case l.self.Addr:
-			return wait(done, time.Until(end), l.nUnknown)
+			r, err := l.wait(done, to.turned, end)
+			if err == nil || notch.Of(err) != notch.Unavailable {
+				return r, err
+			}
 		case "":
 		default:
 			if data == nil {
 				data = rack.EncodeCommand(cmd)
 			}
-			ans, sent, err := l.links.ask(leader, &dowel.Ask{Command: data}, time.Until(end))
+			ans, sent, err := l.links.ask(to, &dowel.Ask{Command: data}, time.Until(end))
 			if err == nil && !ans.Failed {
 				return ans.Result, nil
 			}
-			if err != nil && sent {
-				l.nUnknown.Inc()
-				return rack.Result{}, notch.New(notch.Unknown, "leader did not answer")
-			}
-			if err == nil && ans.Kind != notch.Unavailable {
+			unknown = unknown || err != nil && sent || err == nil && ans.Kind == notch.Unknown
+			if err == nil && ans.Kind != notch.Unavailable && ans.Kind != notch.Unknown {
 				return rack.Result{}, &notch.Error{Kind: ans.Kind, Detail: ans.Detail}
 			}
 		}
-		if time.Until(end) < l.timing.Answer/2 {
-			return rack.Result{}, notch.New(notch.Unavailable, "no leader")
+		if l.again(end) {
+			continue
 		}
-		time.Sleep(l.timing.Tick)
+		if unknown {
+			l.nUnknown.Inc()
+			return rack.Result{}, notch.New(notch.Unknown, "the leader did not answer")
+		}
+		return rack.Result{}, notch.New(notch.Unavailable, "no leader")
 	}
 }
 
-func wait(done chan outcome, left time.Duration, unknown *dial.Counter) (rack.Result, error) {
-	t := time.NewTimer(left)
+// wait waits for what becomes of an entry of this node's log. When this node stops
+// leading, the next leader's log mostly tells soon.
+func (l *Lathe) wait(done chan outcome, turned chan struct{}, end time.Time) (rack.Result, error) {
+	t := time.NewTimer(time.Until(end))
 	defer t.Stop()
-	select {
-	case o := <-done:
-		return o.result, o.err
-	case <-t.C:
-		unknown.Inc()
-		return rack.Result{}, notch.New(notch.Unknown, "no majority in time")
+	for {
+		select {
+		case o := <-done:
+			return o.result, o.err
+		case <-turned:
+			turned = nil
+			t.Reset(min(time.Until(end), l.timing.Election))
+		case <-t.C:
+			l.nUnknown.Inc()
+			return rack.Result{}, notch.New(notch.Unknown, "no majority in time")
+		}
 	}
 }
 
@@ -748,41 +789,32 @@
 	return l.self.Addr
 }
 
-// ReadPoint returns once this node's state holds all that was acknowledged
-// before the call.
+// ReadPoint returns once this node's state holds all that was acknowledged before
+// the call (ReadIndex), within Timing.Answer; its errors are of kind Unavailable.
 func (l *Lathe) ReadPoint() error {
 	end := time.Now().Add(l.timing.Answer)
 	for {
 		done := make(chan outcome, 1)
-		at := make(chan string, 1)
-		if !l.post(func() { at <- l.readIndex(done) }) {
-			return notch.New(notch.Unavailable, "node is stopping")
-		}
-		leader := <-at
-		var index uint64
-		var err error = notch.New(notch.Unavailable, "no leader")
-		switch leader {
+		to, err := l.ask(func() string { return l.readIndex(done) })
+		if err != nil {
+			return err
+		}
+		switch to.leader {
 		case l.self.Addr:
-			var r rack.Result
-			r, err = wait(done, time.Until(end), l.board.Counter("reads_unconfirmed_total"))
-			index = r.Revision
+			r, err := l.wait(done, to.turned, end)
+			if err == nil {
+				return l.waitApplied(r.Revision, time.Until(end))
+			}
 		case "":
 		default:
-			var ans *dowel.Answer
-			ans, _, err = l.links.ask(leader, &dowel.Ask{Read: true}, time.Until(end))
-			if err == nil && ans.Failed {
-				err = &notch.Error{Kind: ans.Kind, Detail: ans.Detail}
-			} else if err == nil {
-				index = ans.Index
+			ans, _, err := l.links.ask(to, &dowel.Ask{Read: true}, time.Until(end))
+			if err == nil && !ans.Failed {
+				return l.waitApplied(ans.Index, time.Until(end))
 			}
 		}
-		if err == nil {
-			return l.waitApplied(index, time.Until(end))
-		}
-		if time.Until(end) < l.timing.Answer/2 {
+		if !l.again(end) {
 			return notch.New(notch.Unavailable, "no confirmed read point")
 		}
-		time.Sleep(l.timing.Tick)
 	}
 }
 
@@ -818,11 +850,16 @@
 	}
 }
 
-// fresh tells whether this node has heard of the newest state lately.
-func (l *Lathe) fresh() bool {
+// fresh tells whether this node holds all that was acknowledged anywhere up to two
+// election time-outs ago, and so whether others may count on it.
+func (l *Lathe) fresh() bool { return l.outOfTouch() <= 2*l.timing.Election }
+
+// outOfTouch is for how long this node has not been in touch with a majority, or
+// has not applied what the majority holds.
+func (l *Lathe) outOfTouch() time.Duration {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return l.view.freshAt != 0 && l.now()-l.view.freshAt <= l.timing.Election
+	return l.now() - l.view.touchedAt
 }
 
 // configuration reads what is held. The caller has the node's lock.
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -21,7 +21,7 @@
 	addr  string
 	queue chan *dowel.Frame
 	mu    sync.Mutex
-	asks  map[uint64]chan *dowel.Answer
+	calls map[uint64]*call
 	up    bool
 	kick  chan struct{} // the peer has shown itself
 	ctx   context.Context
@@ -94,7 +94,7 @@
 	defer s.mu.Unlock()
 	k := s.byAddr[addr]
 	if k == nil {
-		k = &link{addr: addr, queue: make(chan *dowel.Frame, 256), asks: map[uint64]chan *dowel.Answer{}, kick: make(chan struct{}, 1)}
+		k = &link{addr: addr, queue: make(chan *dowel.Frame, 256), calls: map[uint64]*call{}, kick: make(chan struct{}, 1)}
 		k.ctx, k.stop = context.WithCancel(s.l.ctx)
 		s.byAddr[addr] = k
 		go s.l.turnLink(k)
@@ -126,40 +126,66 @@
 
 var errNotSent = errors.New("lathe: peer is not connected")
 
-// ask sends a call to a peer and waits for its answer. sent tells whether the
-// peer may have got it.
-func (s *linkSet) ask(addr string, a *dowel.Ask, left time.Duration) (ans *dowel.Answer, sent bool, err error) {
-	k := s.get(addr)
+// call is one that waits for its answer.
+type call struct {
+	answer chan *dowel.Answer
+	sent   bool // it may have left
+}
+
+// ask sends a call to a peer and waits for its answer, until another leads. sent tells
+// whether the peer may have got it; if not, it never will.
+func (s *linkSet) ask(to aim, a *dowel.Ask, left time.Duration) (ans *dowel.Answer, sent bool, err error) {
+	k := s.get(to.leader)
 	a.ID = s.l.askSeq.Add(1)
-	ch := make(chan *dowel.Answer, 1)
+	c := &call{answer: make(chan *dowel.Answer, 1)}
 	k.mu.Lock()
 	if !k.up {
 		k.mu.Unlock()
 		return nil, false, errNotSent
 	}
-	k.asks[a.ID] = ch
+	k.calls[a.ID] = c
 	k.mu.Unlock()
-	defer func() {
+	forget := func() bool {
 		k.mu.Lock()
-		delete(k.asks, a.ID)
-		k.mu.Unlock()
-	}()
+		defer k.mu.Unlock()
+		delete(k.calls, a.ID)
+		return c.sent
+	}
 	select {
 	case k.queue <- &dowel.Frame{Ask: a}:
 	default:
+		forget()
 		return nil, false, errNotSent
 	}
 	t := time.NewTimer(left)
 	defer t.Stop()
+	err = errors.New("lathe: peer did not answer")
 	select {
-	case ans := <-ch:
-		if ans == nil {
-			return nil, true, errors.New("lathe: connection to the peer broke")
+	case ans := <-c.answer:
+		if ans != nil {
+			return ans, true, nil
 		}
-		return ans, true, nil
+		err = errors.New("lathe: connection to the peer broke")
+	case <-to.turned:
+		err = errors.New("lathe: another leads, or none")
 	case <-t.C:
-		return nil, true, errors.New("lathe: peer did not answer")
 	}
+	return nil, forget(), err
+}
+
+// leaves tells whether a frame is still to be sent: a call that nobody waits for any
+// more is not.
+func (k *link) leaves(f *dowel.Frame) bool {
+	if f.Ask == nil {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.calls[f.Ask.ID]
+	if c != nil {
+		c.sent = true
+	}
+	return c != nil
 }
 
 // tell queues a frame without waiting.
@@ -271,11 +297,11 @@
 				}
 				if f.Answer != nil {
 					k.mu.Lock()
-					ch := k.asks[f.Answer.ID]
-					delete(k.asks, f.Answer.ID)
+					c := k.calls[f.Answer.ID]
+					delete(k.calls, f.Answer.ID)
 					k.mu.Unlock()
-					if ch != nil {
-						ch <- f.Answer
+					if c != nil {
+						c.answer <- f.Answer
 					}
 				}
 			}
@@ -288,16 +314,16 @@
 			case <-dead:
 				ok = false
 			case f := <-k.queue:
-				ok = conn.Send(f) == nil
+				ok = !k.leaves(f) || conn.Send(f) == nil
 			}
 		}
 		conn.Close()
 		<-dead
 		k.mu.Lock()
 		k.up = false
-		for id, ch := range k.asks {
-			delete(k.asks, id)
-			ch <- nil
+		for id, c := range k.calls {
+			delete(k.calls, id)
+			c.answer <- nil
 		}
 		k.mu.Unlock()
 	}
@@ -414,7 +440,6 @@
 func (l *Lathe) serveAsk(conn *dowel.Conn, a *dowel.Ask) {
 	ans := &dowel.Answer{ID: a.ID}
 	done := make(chan outcome, 1)
-	at := make(chan string, 1)
 	switch {
 	case a.Command != nil:
 		cmd, err := rack.DecodeCommand(a.Command)
@@ -422,11 +447,9 @@
 			ans = failed(a.ID, notch.New(notch.BadRequest, "%v", err))
 			break
 		}
-		l.post(func() { at <- l.propose(cmd, done) })
-		ans = l.await(a.ID, at, done)
+		ans = l.await(a.ID, func() string { return l.propose(cmd, done) }, done)
 	case a.Read:
-		l.post(func() { at <- l.readIndex(done) })
-		ans = l.await(a.ID, at, done)
+		ans = l.await(a.ID, func() string { return l.readIndex(done) }, done)
 		ans.Index = ans.Result.Revision
 	case a.Join != nil:
 		if err := l.admit(*a.Join); err != nil {
@@ -436,7 +459,7 @@
 			l.mu.RUnlock()
 			if errors.Is(err, errNotLeader) && !a.Passed && leader != "" && leader != l.self.Addr {
 				// None of the nodes that a new one knows may be the leader.
-				if x, _, err := l.links.ask(leader, &dowel.Ask{Join: a.Join, Passed: true}, l.timing.Election); err == nil {
+				if x, _, err := l.links.ask(aim{leader: leader}, &dowel.Ask{Join: a.Join, Passed: true}, l.timing.Election); err == nil {
 					ans = x
 					ans.ID = a.ID
 				}
@@ -446,16 +469,15 @@
 	_ = conn.Send(&dowel.Frame{Answer: ans}) // a broken connection ends at its reader
 }
 
-func (l *Lathe) await(id uint64, at chan string, done chan outcome) *dowel.Answer {
-	select {
-	case leader := <-at:
-		if leader != l.self.Addr {
-			return failed(id, errNotLeader)
-		}
-	case <-l.ctx.Done():
+// await answers a call that only a leader carries out: f starts it and gives the
+// leader's address.
+func (l *Lathe) await(id uint64, f func() string, done chan outcome) *dowel.Answer {
+	end := time.Now().Add(l.timing.Answer)
+	to, err := l.ask(f)
+	if err != nil || to.leader != l.self.Addr {
 		return failed(id, errNotLeader)
 	}
-	r, err := wait(done, l.timing.Answer, l.nUnknown)
+	r, err := l.wait(done, to.turned, end)
 	if err != nil {
 		return failed(id, err)
 	}
--- a/rack/rack.go
+++ b/rack/rack.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
 	"encoding/binary"
 	"encoding/gob"
 	"encoding/json"
@@ -237,6 +238,7 @@
 	ProxyPrefix    = "proxies/"
 	EvacPrefix     = "evacuations/"
 	RolloutPrefix  = "rollouts/"
+	AcceptedPrefix = "accepted/"
 	ConfigKey      = "configuration/current"
 )
 
@@ -254,6 +256,61 @@
 	return binary.BigEndian.Uint64(o.Value), o.Value[8:], true
 }
 
+// AcceptedKey is where the digest of the configuration that was taken under a version
+// stands, in the order of versions. An order is known by its content, not by its
+// number alone.
+func AcceptedKey(version uint64) string { return fmt.Sprintf("%s%020d", AcceptedPrefix, version) }
+
+// ConfigDigest is what tells one configuration's text from another (SHA-256, cut to
+// 16 bytes).
+func ConfigDigest(text []byte) []byte {
+	d := sha256.Sum256(text)
+	return d[:16]
+}
+
+// AcceptConfig derives the transaction that takes a configuration, from the state
+// held here. It gives nil where there is nothing to write: the same content was taken
+// under this version before. A *TakenError tells that another content was.
+//
+// A version that is overtaken before it came changes nothing, but is taken all the
+// same, so that no other content is under its number.
+func (s *Store) AcceptConfig(version uint64, text []byte) (*Txn, error) {
+	mark := Write{Key: AcceptedKey(version), Value: ConfigDigest(text)}
+	current, _ := s.Get(ConfigKey)
+	held, heldText, ok := DecodeConfig(current)
+	taken := s.objects[mark.Key].Value
+	if ok && held == version && taken == nil {
+		taken = ConfigDigest(heldText) // its mark has been forgotten
+	}
+	if taken != nil {
+		if !bytes.Equal(taken, mark.Value) {
+			return nil, &TakenError{version, taken, mark.Value}
+		}
+		return nil, nil
+	}
+	if ok && held > version {
+		return &Txn{If: []Condition{{Key: mark.Key}}, Then: []Write{mark}}, nil
+	}
+	w := Write{Key: ConfigKey, Value: EncodeConfig(version, text)}
+	if ok {
+		// The whole object is replaced; what is logged and sent is the difference.
+		if d := Delta(current.Value, w.Value); len(d) < len(w.Value)/2 {
+			w.Value, w.Patch = d, true
+		}
+	}
+	return &Txn{If: []Condition{{ConfigKey, current.ModRevision}, {Key: mark.Key}}, Then: []Write{mark, w}}, nil
+}
+
+// TakenError tells that a version was taken with another content.
+type TakenError struct {
+	Version      uint64
+	Taken, Asked []byte // digests
+}
+
+func (e *TakenError) Error() string {
+	return fmt.Sprintf("version %d was taken with the content %x, not %x", e.Version, e.Taken, e.Asked)
+}
+
 // Endpoint is one life of one server, as kept under EndpointPrefix + its id.
 type Endpoint struct {
 	ID       string  `json:"id"`
