A relay that points to the core is asked once; tests of the lease

Change: within a search a relay that has pointed is passed over. Tests of the lease: TestTouchAges and a check in TestSimulatedFaults; red when a heartbeat counts from when it was read, or without regard to what it had committed.

--- a/clamp/clamp_test.go
+++ b/clamp/clamp_test.go
@@ -44,9 +44,10 @@
 	c := trestle.New(seed, 3+2*int(seed%2), newList)
 	n := uint64(len(c.Nodes))
 	most := int(n-1) / 2
-	acked := map[string]bool{}
+	acked := map[string]time.Duration{}
 	down := map[uint64]bool{}
 	next := n + 1
+	touched := map[uint64]int{}
 	for round := range 120 {
 		c.Faults.Drop = c.Rand.Float64() * 0.2 * float64(c.Rand.Intn(2))
 		c.Faults.SyncMax = time.Duration(6+c.Rand.Intn(2)*90) * time.Millisecond
@@ -107,7 +108,7 @@
 				v := fmt.Sprint("v", len(acked), "-", round, "-", c.Now)
 				c.Propose(l.ID, []byte(v), func(_ any, ok bool) {
 					if ok {
-						acked[v] = true
+						acked[v] = c.Now
 					}
 				})
 			}
@@ -128,6 +129,7 @@
 				})
 			}
 			c.Run(time.Duration(10+c.Rand.Intn(60)) * time.Millisecond)
+			checkTouch(t, c, acked, touched)
 		}
 		if c.Broken != "" {
 			t.Fatal(c.Broken)
@@ -164,6 +166,76 @@
 	if len(acked) < 50 {
 		t.Errorf("only %d values were acknowledged", len(acked))
 	}
+	if len(touched) < int(n) {
+		t.Errorf("only %d nodes were ever in touch", len(touched))
+	}
+}
+
+// checkTouch: a node that runs holds all that was acknowledged before it was last in
+// touch, at a follower less one election time-out. touched counts the checks by node.
+func checkTouch(t *testing.T, c *trestle.Cluster, acked map[string]time.Duration, touched map[uint64]int) {
+	t.Helper()
+	for _, id := range c.IDs() {
+		n := c.Nodes[id]
+		if !c.Up(id) || n.Raft.TouchedAt() == 0 {
+			continue
+		}
+		sure := n.Raft.TouchedAt()
+		if n.Raft.Role() != clamp.Leader {
+			sure -= trestle.Election
+		}
+		var before []string
+		for v, at := range acked {
+			if at < sure {
+				before = append(before, v)
+			}
+		}
+		if !holds(n.Machine.(*list), before) {
+			t.Fatalf("node %d, in touch at %v by its word, lacks a value acknowledged before", id, n.Raft.TouchedAt())
+		}
+		touched[id]++
+	}
+}
+
+// TestTouchAges: what a node last proved grows old while it is cut off in any one
+// direction, or frozen, and whatever waited for it meanwhile proves nothing newer.
+func TestTouchAges(t *testing.T) {
+	for _, trouble := range []string{"deaf", "mute", "frozen"} {
+		for seed := int64(1); seed <= 6; seed++ {
+			c := trestle.New(seed, 3, newList)
+			c.Run(time.Second)
+			leader := c.Leader().ID
+			for _, id := range []uint64{leader, leader%3 + 1} {
+				before := c.Nodes[id].Raft.TouchedAt()
+				if c.Now-before > trestle.Election {
+					t.Fatalf("seed %d: in calm, node %d was last in touch at %v, now %v", seed, id, before, c.Now)
+				}
+				began := c.Now
+				for _, other := range c.IDs() {
+					c.Cut(other, id, trouble == "deaf")
+					c.Cut(id, other, trouble == "mute")
+				}
+				c.Freeze(id, trouble == "frozen")
+				c.Run(20 * time.Second)
+				if trouble == "frozen" {
+					// Thawed, it reads what waited in its socket; nothing new comes in.
+					for _, other := range c.IDs() {
+						c.Cut(id, other, true)
+					}
+					c.Freeze(id, false)
+					c.Run(c.Step)
+				}
+				if at := c.Nodes[id].Raft.TouchedAt(); at > began+trestle.Election/2 {
+					t.Errorf("seed %d: node %d, %s since %v, counts as in touch at %v", seed, id, trouble, began, at)
+				}
+				if c.Nodes[id].Raft.InTouch(trestle.Election) {
+					t.Errorf("seed %d: node %d, %s, believes that a majority hears it", seed, id, trouble)
+				}
+				c.Heal()
+				c.Run(2 * time.Second)
+			}
+		}
+	}
 }
 
 func holds(l *list, values []string) bool {
--- a/internal/plane/follow.go
+++ b/internal/plane/follow.go
@@ -179,8 +179,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type result struct {
-		s   *stream
-		err error
+		addr string
+		s    *stream
+		err  error
 	}
 	results := make(chan result)
 	stagger := p.timing.Call / 2
@@ -195,6 +196,9 @@
 	if want.List {
 		dial = p.timing.Call / 2
 	}
+	// Relays that told where the core is. They lie as near as any node, this one's own
+	// machine among them, and would be asked first for ever.
+	relays := map[string]bool{}
 	for ctx.Err() == nil {
 		wait := func(span time.Duration) (*stream, error) {
 			t := time.NewTimer(span)
@@ -202,6 +206,9 @@
 			select {
 			case r := <-results:
 				out--
+				if errors.Is(r.err, errPointed) {
+					relays[r.addr] = true
+				}
 				return r.s, r.err
 			case <-t.C:
 			case <-ctx.Done():
@@ -210,12 +217,15 @@
 		}
 		again := false // more candidates are known now
 		for _, addr := range p.line.Candidates(avoid) {
+			if relays[addr] {
+				continue
+			}
 			if out < openMost {
 				out++
 				go func(want dowel.Ask) {
 					s, err := p.open(ctx, addr, want, dial)
 					select {
-					case results <- result{s, err}:
+					case results <- result{addr, s, err}:
 					case <-ctx.Done():
 						if s != nil {
 							s.close()
@@ -238,6 +248,7 @@
 			continue
 		}
 		avoid = ""
+		clear(relays) // what they know may be newer by now
 		for left, end := pause/2+time.Duration(rand.Int63n(int64(pause))), time.Now(); left > 0 && ctx.Err() == nil; {
 			if s, _ := wait(left); s != nil {
 				return s
--- a/internal/plane/follow_test.go
+++ b/internal/plane/follow_test.go
@@ -173,3 +173,33 @@
 		}
 	}
 }
+
+// TestRelayIsAskedOnce: a relay on the own machine that is named as a seed lies
+// nearest of all and only points to the core. It is not asked over and over again
+// before the core is.
+func TestRelayIsAskedOnce(t *testing.T) {
+	own, core := "127.0.0.26", "127.0.0.27"
+	port := vicetest.FreePort(t, own, core)
+	set := vicetest.Settings(t, own, "", 1, port, []string{own, core}, false)
+	address := func(ip string) string { return set.InternalAddr(ip + ":1") }
+	var asked atomic.Int64
+	vicetest.Listen(t, address(own), func(conn *dowel.Conn) {
+		asked.Add(1)
+		known := []dowel.ControlNode{{Addr: address(core), API: core + ":1", Zone: set.Zone}}
+		for err := conn.Send(&dowel.Frame{Bookmark: &dowel.Bookmark{Control: known}}); err == nil; {
+			_, err = conn.Receive(0)
+		}
+	})
+	newControl(t, address(core), func(a *dowel.Ask) *dowel.Answer { return &dowel.Answer{ID: a.ID, Revision: max(1, a.Least)} })
+	p := New(set, slog.New(slog.NewTextHandler(io.Discard, nil)), dial.NewBoard())
+	ctx, stop := context.WithTimeout(context.Background(), 30*time.Second)
+	defer stop()
+	s := p.search(ctx, "", dowel.Ask{ID: 1, List: true, Packs: true})
+	if s == nil {
+		t.Fatalf("the core was never followed, the relay was asked %d times", asked.Load())
+	}
+	s.close()
+	if n := asked.Load(); s.addr != address(core) || n > 2 {
+		t.Errorf("followed %s, asked the relay %d times", s.addr, n)
+	}
+}
--- a/trestle/trestle.go
+++ b/trestle/trestle.go
@@ -14,6 +14,12 @@
 	"lichentray/clamp"
 )
 
+// How patient the simulated nodes are.
+const (
+	Heartbeat = 20 * time.Millisecond
+	Election  = 150 * time.Millisecond
+)
+
 // Machine is the state machine that a node feeds.
 type Machine interface {
 	// Apply takes a committed command; its result goes to the proposer.
@@ -113,7 +119,7 @@
 	}
 	saved := n.Disk
 	saved.Entries = append([]clamp.Entry(nil), saved.Entries...)
-	n.Raft = clamp.New(clamp.Config{ID: n.ID, Heartbeat: 20 * time.Millisecond, Election: 150 * time.Millisecond, Rand: c.Rand.Int63n}, c.Now, saved)
+	n.Raft = clamp.New(clamp.Config{ID: n.ID, Heartbeat: Heartbeat, Election: Election, Rand: c.Rand.Int63n}, c.Now, saved)
 	n.jobs, n.waiting, n.reads, n.up, n.frozen, n.diskUntil = nil, map[uint64]call{}, map[uint64]func(bool){}, true, false, 0
 }
 
