A roll-out order sent again after its roll-back is acknowledged

Cause: an order whose answer was lost is sent again; a bad version is rolled back within two seconds, and the repeat then got 409, though the order had been taken. Change: the newest order is known by its version and deadline and acknowledged again however it ended; another deadline is another order and refused as before. The table test had the refusal as its expectation; it now has both rows.

--- a/feeler/feeler.go
+++ b/feeler/feeler.go
@@ -84,15 +84,17 @@
 
 func (r Refusal) Error() string { return string(r) }
 
-// Begin gives the state after an order. One that is under way, or done, already
-// gives the same state; one that stands against what is decided is refused.
+// Begin gives the state after an order. An order is known by its target and its
+// deadline: the newest one, sent again after a lost answer, gives the same state
+// however it ended. So does another one for a version that is under way or in use.
+// What stands against what is decided is refused.
 func (r Rollout) Begin(target string, deadline time.Duration) (Rollout, error) {
 	switch {
 	case r.Base == "":
 		return r, Refusal("the service has no endpoint yet, so it has no version to move away from")
 	case r.State == InProgress && r.Target != target:
 		return r, Refusal("a roll-out to another version is under way")
-	case r.State == RolledBack && r.Target == target:
+	case r.State == RolledBack && r.Target == target && r.DeadlineS != deadline.Seconds():
 		return r, Refusal("this version was rolled back; a mended one needs a new name")
 	case r.State != "" && r.Target == target:
 		return r, nil
