Tests of a node out of touch, and of one content a version

TestOutOfTouch: three nodes, two gone; the third hands out nothing, confirms only what it knows to be committed, refuses nothing for good.

--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -628,6 +629,65 @@
 	})
 }
 
+// TestOutOfTouch: a node that has lost the others hands out nothing, confirms nothing
+// that it does not know to be committed, refuses nothing for good, and says so at once.
+func TestOutOfTouch(t *testing.T) {
+	g := newGroup(t, 3, nil)
+	l := g.nodes[0]
+	held := []byte(fmt.Sprintf(text, 5))
+	until(t, "a configuration is taken", func() bool { return l.Replace(held) == nil })
+	e := rack.Endpoint{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Capacity: 2, Sequence: 1}
+	for _, id := range []string{"i-1", "i-2"} {
+		e.ID = id
+		if err := l.Beat(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e.Draining = true
+	if err := errors.Join(l.Beat(e), l.ReadPoint()); err != nil {
+		t.Fatal(err)
+	}
+	g.nodes[1].Close()
+	g.nodes[2].Close()
+	until(t, "the node knows that it has lost touch", func() bool { return !l.again(time.Now().Add(time.Hour)) })
+
+	beat := func(id string, draining bool) error {
+		return l.Beat(rack.Endpoint{ID: id, Service: "s", Address: "127.0.0.1:1", Capacity: 2, Sequence: 9, Draining: draining})
+	}
+	_, readErr := l.Configuration()
+	_, cellErr := l.Cell("c")
+	_, _, watchErr := l.Watch("g.", 0, time.Second)
+	_, numberErr := l.Do(rack.Command{Latch: &latch.Command{Op: latch.Next, Name: "n"}})
+	for what, err := range map[string]error{
+		"a configuration is read":     readErr,
+		"a cell is read":              cellErr,
+		"a watch is opened":           watchErr,
+		"a number is drawn":           numberErr,
+		"an ordinary beat":            beat("i-1", false),
+		"a drain that is new":         beat("i-1", true),
+		"an endpoint that is new":     beat("i-3", false),
+		"a sign-off":                  l.SignOff("i-1"),
+		"a higher configuration":      l.Replace([]byte(fmt.Sprintf(text, 6))),
+		"a lower one that is unknown": l.Replace([]byte(fmt.Sprintf(text, 4))),
+	} {
+		if notch.Of(err) != notch.Unavailable {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	if a, _ := l.open(&dowel.Ask{ID: 1, List: true}); !a.Failed || l.fresh() {
+		t.Errorf("a list: %+v; in touch: %v", a, l.fresh())
+	}
+	// What is committed stays true.
+	for what, err := range map[string]error{"the configuration held, again": l.Replace(held), "a drain that was acknowledged": beat("i-2", true)} {
+		if err != nil {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	if err := l.Replace(append(held, ' ')); notch.Of(err) != notch.Conflict {
+		t.Errorf("another content under the version held: %v", err)
+	}
+}
+
 func TestMergeOfDiskJobs(t *testing.T) {
 	e := func(i, term uint64) clamp.Entry { return clamp.Entry{Index: i, Term: term} }
 	j := merge(diskJob{entries: []clamp.Entry{e(5, 1), e(6, 1), e(7, 1)}, hard: &clamp.HardState{Term: 1}},
