A follower learns the leader's commit by place and term

Cause (by reading): a heartbeat told a follower to commit only what the leader had heard it hold, so one with a hanging disk stayed behind by the last entries and, by the new lease, out of touch, while nothing more was proposed. Change: a heartbeat names place and term of the newest committed entry; whoever has that entry has all before it (log matching). Measured: tests of clamp, latch, rack.

--- a/clamp/node.go
+++ b/clamp/node.go
@@ -206,6 +206,11 @@
 			n.stepAppend(m)
 		case MsgHeartbeat:
 			n.commitTo(min(m.Commit, n.last()))
+			// An entry of the same place and term is the same, and so is all before it,
+			// whether or not the leader has heard that this log holds it.
+			if t, ok := n.term(m.Index); ok && t == m.LogTerm {
+				n.commitTo(m.Index)
+			}
 			n.noteTouch(m)
 			resp := Message{Type: MsgHeartbeatResp, To: m.From, Context: m.Context, Index: n.last(), Sent: n.now, Echo: m.Sent}
 			if n.hardDirty {
--- a/clamp/replication.go
+++ b/clamp/replication.go
@@ -44,6 +44,7 @@
 func (n *Node) beat() {
 	n.beatAt = n.now
 	touch := n.commit >= n.termStart && n.InTouch(n.cfg.Election)
+	term, _ := n.term(n.commit)
 	for _, m := range n.Members().All() {
 		if m.ID == n.cfg.ID {
 			continue
@@ -57,7 +58,7 @@
 			}
 		}
 		n.out(Message{Type: MsgHeartbeat, To: m.ID, Commit: min(n.commit, p.match), Context: n.seq,
-			Index: n.commit, Sent: n.now, Echo: p.theirs, Touch: touch})
+			Index: n.commit, LogTerm: term, Sent: n.now, Echo: p.theirs, Touch: touch})
 	}
 }
 
