--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -851,11 +851,16 @@
 }
 
 // fresh tells whether this node holds all that was acknowledged anywhere up to two
-// election time-outs ago, and so whether others may count on it.
-func (l *Lathe) fresh() bool { return l.outOfTouch() <= 2*l.timing.Election }
+// election time-outs ago, and so whether others may count on it. A node that has just
+// started does not, however young it is.
+func (l *Lathe) fresh() bool {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.view.touchedAt != 0 && l.now()-l.view.touchedAt <= 2*l.timing.Election
+}
 
-// outOfTouch is for how long this node has not been in touch with a majority, or
-// has not applied what the majority holds.
+// outOfTouch is for how long this node has not been in touch with a majority, or has
+// not applied what the majority holds; at most since its start.
 func (l *Lathe) outOfTouch() time.Duration {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/internal/lathe/lathe_test.go
+++ b/internal/lathe/lathe_test.go
@@ -686,6 +686,17 @@
 	if err := l.Replace(append(held, ' ')); notch.Of(err) != notch.Conflict {
 		t.Errorf("another content under the version held: %v", err)
 	}
+	// It does not count as in touch when it starts anew, from its first moment on.
+	l.Close()
+	g.start(0, false)
+	if l = g.nodes[0]; l.fresh() {
+		t.Error("a node that has just started and heard nobody counts as in touch")
+	}
+	// What is committed stays true, but it knows no commit yet.
+	until(t, "the node knows that it has lost touch", func() bool { return !l.again(time.Now().Add(time.Hour)) })
+	if err := l.Replace(held); notch.Of(err) != notch.Unavailable {
+		t.Errorf("the configuration held, again, before anything is known to be committed: %v", err)
+	}
 }
 
 func TestMergeOfDiskJobs(t *testing.T) {
