--- a/clamp/clamp_test.go
+++ b/clamp/clamp_test.go
@@ -387,3 +387,42 @@
 		t.Error("a message to another life was taken")
 	}
 }
+
+// TestEarlyReadsWait: a read asked of a leader that has not committed in its term yet
+// is answered once it has, and holds what earlier terms acknowledged; it is refused if
+// the leader is deposed first.
+func TestEarlyReadsWait(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		c := trestle.New(seed, 3, newList)
+		c.Run(time.Second)
+		old := c.Leader().ID
+		acked := false
+		c.Propose(old, []byte("v"), func(_ any, ok bool) { acked = ok })
+		for !acked {
+			c.Run(c.Step)
+		}
+		c.Crash(old)
+		for c.Leader() == nil {
+			c.Run(c.Step)
+		}
+		l := c.Leader()
+		deposed := seed%4 == 0
+		if deposed {
+			for _, id := range c.IDs() {
+				c.Cut(id, l.ID, true)
+			}
+		}
+		answers, refusals := 0, 0
+		c.Read(l.ID, func(ok bool) {
+			if !ok {
+				refusals++
+			} else if answers++; !holds(l.Machine.(*list), []string{"v"}) {
+				t.Errorf("seed %d: answered without what was acknowledged", seed)
+			}
+		})
+		c.Run(2 * time.Second)
+		if deposed && (answers != 0 || refusals != 1) || !deposed && (answers != 1 || refusals != 0) {
+			t.Errorf("seed %d: deposed %v, %d answers, %d refusals", seed, deposed, answers, refusals)
+		}
+	}
+}
--- a/clamp/node.go
+++ b/clamp/node.go
@@ -30,6 +30,7 @@
 	beatAt     time.Duration
 	seq        uint64
 	reads      []pendingRead
+	early      []uint64 // contexts of reads before termStart is committed
 	transferTo uint64
 	transferAt time.Duration
 	termStart  uint64 // index of the entry that opened this leader's term
@@ -237,6 +238,7 @@
 func (n *Node) Ready() Effects {
 	n.settleTouch()
 	if n.role == Leader {
+		n.askEarly()
 		if len(n.reads) > 0 && n.reads[len(n.reads)-1].seq > n.seq {
 			n.seq++
 			n.beat()
--- a/clamp/readindex.go
+++ b/clamp/readindex.go
@@ -16,20 +16,38 @@
 	for _, r := range n.reads {
 		n.done = append(n.done, Read{Context: r.context})
 	}
-	n.reads = nil
+	for _, context := range n.early {
+		n.done = append(n.done, Read{Context: context})
+	}
+	n.reads, n.early = nil, nil
 }
 
-// ReadIndex asks for a confirmed read point. It comes out of Ready in Reads.
+// ReadIndex asks for a confirmed read point. It comes out of Ready in Reads. At a
+// leader that has not committed in its term yet it waits until that is done.
 func (n *Node) ReadIndex(context uint64) {
-	if n.role != Leader || n.commit < n.termStart {
+	switch {
+	case n.role != Leader:
 		n.done = append(n.done, Read{Context: context})
-		return
-	}
-	if len(n.Members().Voters) == 1 {
+	case n.commit < n.termStart:
+		n.early = append(n.early, context)
+	case len(n.Members().Voters) == 1:
 		n.done = append(n.done, Read{Context: context, Index: n.commit, OK: true})
+	default:
+		n.reads = append(n.reads, pendingRead{context, n.seq + 1, n.commit})
+	}
+}
+
+// askEarly asks for the read points that came before the leader had committed in its
+// term.
+func (n *Node) askEarly() {
+	if len(n.early) == 0 || n.commit < n.termStart {
 		return
 	}
-	n.reads = append(n.reads, pendingRead{context, n.seq + 1, n.commit})
+	early := n.early
+	n.early = nil
+	for _, context := range early {
+		n.ReadIndex(context)
+	}
 }
 
 func (n *Node) releaseReads() {
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -791,8 +791,10 @@
 
 // ReadPoint returns once this node's state holds all that was acknowledged before
 // the call (ReadIndex), within Timing.Answer; its errors are of kind Unavailable.
-func (l *Lathe) ReadPoint() error {
-	end := time.Now().Add(l.timing.Answer)
+func (l *Lathe) ReadPoint() error { return l.readPoint(l.timing.Answer) }
+
+func (l *Lathe) readPoint(within time.Duration) error {
+	end := time.Now().Add(within)
 	for {
 		done := make(chan outcome, 1)
 		to, err := l.ask(func() string { return l.readIndex(done) })
@@ -807,7 +809,7 @@
 			}
 		case "":
 		default:
-			ans, _, err := l.links.ask(to, &dowel.Ask{Read: true}, time.Until(end))
+			ans, _, err := l.links.ask(to, &dowel.Ask{Read: true}, min(time.Until(end), l.timing.Answer))
 			if err == nil && !ans.Failed {
 				return l.waitApplied(ans.Index, time.Until(end))
 			}
--- a/internal/lathe/session.go
+++ b/internal/lathe/session.go
@@ -99,7 +99,9 @@
 	if n := l.nearer(a); n != nil {
 		return &dowel.Answer{ID: a.ID, Nearer: n}, 0
 	}
-	if err := l.ReadPoint(); err != nil {
+	// A proxy waits for this answer while it asks others. After a loss of power a leader
+	// comes soon, and to be sent away to ask again takes as long as that.
+	if err := l.readPoint(l.timing.Dead); err != nil {
 		return failed(a.ID, err), 0
 	}
 	if n := l.nearer(a); n != nil {
