--- a/clamp/node.go
+++ b/clamp/node.go
@@ -18,6 +18,8 @@
 	forced      bool
 	snap        Snapshot // its Data may be dropped; see Compact
 	entries     []Entry  // entries[0].Index == snap.Index+1
+	tail        []Entry  // the newest that snap stands for, for lagging members
+	incoming    *incoming
 	stable      uint64
 	commit      uint64
 	applied     uint64
@@ -45,7 +47,7 @@
 // follows until a leader sends it one.
 func New(cfg Config, now time.Duration, saved Saved) *Node {
 	if cfg.MaxBatch == 0 {
-		cfg.MaxBatch = 1 << 20
+		cfg.MaxBatch = 64 << 10
 	}
 	n := &Node{cfg: cfg, now: now, hard: saved.Hard, snap: saved.Snapshot, entries: saved.Entries}
 	n.commit, n.applied = saved.Snapshot.Index, saved.Snapshot.Index
@@ -82,8 +84,9 @@
 // HeardAt is when a follower last heard from its leader.
 func (n *Node) HeardAt() time.Duration { return n.heardAt }
 
-// LogSize is how many entries the log holds past its snapshot.
-func (n *Node) LogSize() int { return len(n.entries) }
+// LogSize is how many applied entries the log holds past its snapshot, which Compact
+// would drop.
+func (n *Node) LogSize() int { return int(n.applied - n.snap.Index) }
 
 func (n *Node) last() uint64 { return n.snap.Index + uint64(len(n.entries)) }
 
@@ -91,12 +94,25 @@
 	switch {
 	case i == n.snap.Index:
 		return n.snap.Term, true
-	case i < n.snap.Index || i > n.last():
+	case i > n.last():
 		return 0, false
+	case i < n.snap.Index:
+		if len(n.tail) == 0 || i < n.tail[0].Index {
+			return 0, false
+		}
+		return n.tail[i-n.tail[0].Index].Term, true
 	}
 	return n.entries[i-n.snap.Index-1].Term, true
 }
 
+// from gives the log from index i on, whose predecessor's term is known.
+func (n *Node) from(i uint64) []Entry {
+	if i > n.snap.Index {
+		return n.entries[i-n.snap.Index-1:]
+	}
+	return n.tail[i-n.tail[0].Index:]
+}
+
 func (n *Node) lastTerm() uint64 { t, _ := n.term(n.last()); return t }
 
 // Tick lets time pass. now is a steady clock.
@@ -217,7 +233,7 @@
 		case MsgSnapshot:
 			n.stepSnapshot(m)
 		}
-	case MsgAppendResp, MsgHeartbeatResp:
+	case MsgAppendResp, MsgHeartbeatResp, MsgSnapshotResp:
 		if n.role == Leader {
 			n.stepResp(m)
 		}
--- a/clamp/replication.go
+++ b/clamp/replication.go
@@ -10,11 +10,12 @@
 type progress struct {
 	match    uint64
 	next     uint64
-	sentAt   time.Duration // last append or snapshot
+	sentAt   time.Duration // last append or part of a snapshot
 	heardAt  time.Duration
 	ackedAt  time.Duration // last time match moved or was whole
 	context  uint64
-	snapshot bool
+	flow     flow
+	transfer *transfer // of a snapshot, or nil
 	// What was sent anew after the newest rejection, and when.
 	anewFrom, anewThrough uint64
 	anewAt                time.Duration
@@ -47,9 +48,11 @@
 		}
 		p := n.peer(m.ID)
 		// Nothing acknowledged for a while: send again from what is known.
-		if p.match < n.last() && n.now-p.sentAt > 3*n.cfg.Heartbeat && n.now-p.ackedAt > 3*n.cfg.Heartbeat {
-			p.next, p.snapshot = p.match+1, false
+		patience := p.flow.patience(n.cfg.Heartbeat)
+		if p.match < n.last() && n.now-p.sentAt > patience && n.now-p.ackedAt > patience {
+			n.again(p)
 			if n.now-p.heardAt <= n.cfg.Election {
+				p.flow.tries++
 				n.append(m.ID)
 			}
 		}
@@ -57,10 +60,31 @@
 	}
 }
 
+// again has a member sent anew what it is not known to hold. A snapshot goes on
+// where it stood.
+func (n *Node) again(p *progress) {
+	p.next = p.match + 1
+	p.flow.lost()
+	if p.transfer != nil {
+		p.transfer.waiting = false
+		if n.now-p.heardAt > 10*n.cfg.Election {
+			p.transfer = nil // a member that is gone for long holds no memory here
+		}
+	}
+}
+
+// Reconnected tells that what was on its way to a member and is not acknowledged
+// is lost, as its connection is a new one.
+func (n *Node) Reconnected(id uint64) {
+	if p := n.peers[id]; p != nil && n.role == Leader {
+		n.again(p)
+	}
+}
+
 func (n *Node) peer(id uint64) *progress {
 	p := n.peers[id]
 	if p == nil {
-		p = &progress{next: n.last() + 1, heardAt: n.now, ackedAt: n.now}
+		p = &progress{next: n.last() + 1, heardAt: n.now, ackedAt: n.now, flow: flow{window: n.cfg.MaxBatch}}
 		n.peers[id] = p
 	}
 	return p
@@ -156,6 +180,10 @@
 		}
 		return
 	}
+	if m.Type == MsgSnapshotResp {
+		n.stepSnapshotResp(m, p)
+		return
+	}
 	if m.Reject {
 		if m.Index == 0 || m.Index < p.match {
 			return
@@ -167,7 +195,8 @@
 		}
 		p.next = max(p.match+1, min(m.Hint+1, m.Index))
 		p.anewFrom, p.anewThrough, p.anewAt = p.next, n.last(), n.now
-		p.snapshot = false
+		p.flow.lost()
+		p.transfer = nil
 		n.append(m.From)
 		return
 	}
@@ -175,7 +204,10 @@
 		p.match = m.Index
 		p.ackedAt = n.now
 	}
-	p.snapshot = p.snapshot && p.match < n.snap.Index
+	p.flow.acked(n, p.match)
+	if p.transfer != nil && p.match >= p.transfer.snap.Index {
+		p.transfer = nil
+	}
 	p.next = max(p.next, p.match+1)
 	n.maybeCommit()
 	if n.transferTo == m.From {
@@ -185,34 +217,100 @@
 
 func (n *Node) append(to uint64) {
 	p := n.peers[to]
-	if p == nil || p.snapshot {
+	if p == nil {
 		return
 	}
-	if p.next <= n.snap.Index {
-		if n.snap.Data == nil {
-			return
-		}
-		s := n.snap
-		p.snapshot, p.sentAt, p.next = true, n.now, n.snap.Index+1
-		n.out(Message{Type: MsgSnapshot, To: to, Snap: &s})
+	if p.transfer != nil {
+		n.sendPart(to, p)
 		return
 	}
-	for p.next <= n.last() {
+	for p.next <= n.last() && p.flow.open() {
 		prev := p.next - 1
-		t, _ := n.term(prev)
-		from := n.entries[p.next-n.snap.Index-1:]
+		t, ok := n.term(prev)
+		if !ok {
+			n.sendSnapshot(to, p)
+			return
+		}
+		from := n.from(p.next)
 		size, k := 0, 0
-		for k < len(from) && (k == 0 || size+len(from[k].Data) < n.cfg.MaxBatch) {
-			size += len(from[k].Data)
+		for k < len(from) && (k == 0 || size+weight(from[k]) <= min(n.cfg.MaxBatch, p.flow.window)) {
+			size += weight(from[k])
 			k++
 		}
 		// A copy, as the log may be cut while the message waits.
 		n.out(Message{Type: MsgAppend, To: to, Index: prev, LogTerm: t, Commit: n.commit, Entries: append([]Entry(nil), from[:k]...)})
 		p.next += uint64(k)
 		p.sentAt = n.now
+		p.flow.sent(n.now, p.next-1, size)
 	}
 }
 
+// weight is what an entry takes on its way and in memory, in bytes.
+func weight(e Entry) int { return len(e.Data) + 64 }
+
+// flow bounds what is on its way to one member (congestion control): what is sent
+// ahead of its acknowledgements is what heartbeats wait behind on a narrow link.
+type flow struct {
+	window  int // bytes that may be on their way
+	bytes   int // bytes that are
+	flights []flight
+	rtt     time.Duration // least time to an acknowledgement, slowly forgotten
+	tries   int           // times in a row that nothing was acknowledged in time
+}
+
+type flight struct {
+	last uint64 // index of its last entry; of a part of a snapshot, its end
+	size int
+	at   time.Duration
+}
+
+const (
+	minWindow = 4 << 10 // bytes
+	// patient is how many bytes on their way lengthen the wait for an
+	// acknowledgement by one more time.
+	patient = 32 << 10
+)
+
+// open tells whether more may be sent. One message always may.
+func (f *flow) open() bool { return f.bytes == 0 || f.bytes < f.window }
+
+func (f *flow) sent(now time.Duration, last uint64, size int) {
+	f.flights = append(f.flights, flight{last, size, now})
+	f.bytes += size
+}
+
+// lost forgets what is on its way.
+func (f *flow) lost() { f.flights, f.bytes = nil, 0 }
+
+// acked takes an acknowledgement. The window follows the delay, as in LEDBAT (RFC
+// 6817): it shrinks while acknowledgements come a quarter of the shortest election
+// time-out later than they could, and grows while they don't.
+func (f *flow) acked(n *Node, through uint64) {
+	for len(f.flights) > 0 && f.flights[0].last <= through {
+		x := f.flights[0]
+		f.flights = f.flights[1:]
+		f.bytes -= x.size
+		f.tries = 0
+		took := n.now - x.at
+		if f.rtt == 0 || took < f.rtt {
+			f.rtt = took
+		} else {
+			f.rtt += f.rtt / 32
+		}
+		if took > f.rtt+n.cfg.Election/4 {
+			f.window = max(f.window/2, minWindow)
+		} else {
+			f.window = min(f.window+x.size, 4*n.cfg.MaxBatch)
+		}
+	}
+}
+
+// patience is how long an acknowledgement is waited for. It doubles with each try,
+// so that a link slower than any expected isn't filled with copies.
+func (f *flow) patience(heartbeat time.Duration) time.Duration {
+	return 3 * heartbeat * time.Duration(1+f.bytes/patient) << min(f.tries, 4)
+}
+
 func (n *Node) maybeCommit() {
 	voters := n.Members().Voters
 	if len(voters) == 0 {
--- a/clamp/types.go
+++ b/clamp/types.go
@@ -115,6 +115,7 @@
 	MsgHeartbeatResp
 	MsgSnapshot
 	MsgTimeoutNow
+	MsgSnapshotResp // Offset tells how much of the snapshot up to Index is held
 )
 
 // Message is what one node tells another.
@@ -131,7 +132,12 @@
 	Context uint64
 	Force   bool // a vote asked for by the leader itself
 	Entries []Entry
-	Snap    *Snapshot
+	// A part of a snapshot: Snap's Data are the bytes from Offset on, of Size in
+	// all, whose checksum (CRC-32, Castagnoli) is Sum.
+	Snap   *Snapshot
+	Offset int
+	Size   int
+	Sum    uint32
 }
 
 // Role is what a node is at the moment.
@@ -155,7 +161,7 @@
 	Heartbeat time.Duration
 	Election  time.Duration // shortest; the longest is twice that
 	Rand      func(n int64) int64
-	MaxBatch  int // bytes of entries in one message
+	MaxBatch  int // bytes of entries in one message; four times as many may be on their way to a member
 }
 
 // Saved is what a node finds on its disk.
--- a/trestle/trestle.go
+++ b/trestle/trestle.go
@@ -67,7 +67,13 @@
 	Faults Faults
 	Nodes  map[uint64]*Node
 	Step   time.Duration
+	// Bandwidth is what a way carries, in bytes a second; what is sent beyond it
+	// waits in order. A way that isn't named carries anything.
+	Bandwidth map[[2]uint64]int
+	// Carried is how many bytes each way of those named has taken.
+	Carried map[[2]uint64]int
 
+	free    map[[2]uint64]time.Duration // when a way has carried all
 	fresh   func() Machine
 	letters []letter
 	seq     int
@@ -85,6 +91,7 @@
 		Rand: rand.New(rand.NewSource(seed)), Nodes: map[uint64]*Node{}, Step: 5 * time.Millisecond, fresh: fresh,
 		Faults: Faults{DelayMax: 4 * time.Millisecond, SyncMax: 6 * time.Millisecond},
 		cut:    map[[2]uint64]bool{}, chosen: map[uint64]string{}, compact: 200,
+		Bandwidth: map[[2]uint64]int{}, Carried: map[[2]uint64]int{}, free: map[[2]uint64]time.Duration{},
 	}
 	var ms clamp.Membership
 	for id := uint64(1); id <= uint64(n); id++ {
@@ -266,8 +273,28 @@
 			continue
 		}
 		c.seq++
-		c.letters = append(c.letters, letter{c.Now + time.Duration(c.Rand.Int63n(int64(c.Faults.DelayMax)+1)), c.seq, m})
+		at := c.Now
+		way := [2]uint64{m.From, m.To}
+		if rate := c.Bandwidth[way]; rate > 0 {
+			n := size(m)
+			at = max(at, c.free[way]) + time.Second*time.Duration(n)/time.Duration(rate)
+			c.free[way] = at
+			c.Carried[way] += n
+		}
+		c.letters = append(c.letters, letter{at + time.Duration(c.Rand.Int63n(int64(c.Faults.DelayMax)+1)), c.seq, m})
+	}
+}
+
+// size is about what a message takes on its way.
+func size(m clamp.Message) int {
+	n := 100
+	for _, e := range m.Entries {
+		n += 30 + len(e.Data)
+	}
+	if m.Snap != nil {
+		n += len(m.Snap.Data)
 	}
+	return n
 }
 
 // sync makes a write durable.
