lathe, dowel: the log has a connection of its own, and a slow one isn't broken

After a new connection what was lost was only sent again when three heartbeats had gone by.

Change: the deadline bounds 16 KiB of progress. At most 128 messages are on their way to a member, half of what the link's queue holds.

Conclusion: a link needs to carry 16 KiB within the time-out, not the state.

--- a/clamp/replication.go
+++ b/clamp/replication.go
@@ -265,14 +265,17 @@
 }
 
 const (
-	minWindow = 4 << 10 // bytes
+	minWindow  = 4 << 10 // bytes
+	maxFlights = 128     // messages
 	// patient is how many bytes on their way lengthen the wait for an
 	// acknowledgement by one more time.
 	patient = 32 << 10
 )
 
 // open tells whether more may be sent. One message always may.
-func (f *flow) open() bool { return f.bytes == 0 || f.bytes < f.window }
+func (f *flow) open() bool {
+	return f.bytes == 0 || f.bytes < f.window && len(f.flights) < maxFlights
+}
 
 func (f *flow) sent(now time.Duration, last uint64, size int) {
 	f.flights = append(f.flights, flight{last, size, now})
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -226,6 +226,9 @@
 	Verdicts []balance.Verdict
 }
 
+// writePiece is what must be taken within WriteTimeout, in bytes.
+const writePiece = 16 << 10
+
 // packedBit in the length tells that a frame is compressed.
 const packedBit = 1 << 31
 
@@ -246,7 +249,7 @@
 	dec *gob.Decoder
 	// packed is a large frame in its compressed form.
 	packed bytes.Buffer
-	// WriteTimeout bounds one Send.
+	// WriteTimeout bounds how long a Send may go without progress.
 	WriteTimeout time.Duration
 }
 
@@ -338,12 +341,16 @@
 		head = uint32(len(b)-4) | packedBit
 	}
 	binary.BigEndian.PutUint32(b, head)
-	if err := c.raw.SetWriteDeadline(time.Now().Add(c.WriteTimeout)); err != nil {
-		return fmt.Errorf("dowel: %w", err)
-	}
-	if _, err := c.raw.Write(b); err != nil {
-		c.raw.Close()
-		return fmt.Errorf("dowel: send: %w", err)
+	for len(b) > 0 {
+		piece := b[:min(len(b), writePiece)]
+		b = b[len(piece):]
+		if err := c.raw.SetWriteDeadline(time.Now().Add(c.WriteTimeout)); err != nil {
+			return fmt.Errorf("dowel: %w", err)
+		}
+		if _, err := c.raw.Write(piece); err != nil {
+			c.raw.Close()
+			return fmt.Errorf("dowel: send: %w", err)
+		}
 	}
 	if c.out.Cap() > 16*PackFrom { // a list or a large configuration; not kept
 		c.out, c.packed = bytes.Buffer{}, bytes.Buffer{}
--- a/internal/dowel/dowel_test.go
+++ b/internal/dowel/dowel_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"math/rand"
 	"net"
 	"reflect"
 	"testing"
@@ -91,3 +92,33 @@
 		}
 	})
 }
+
+// TestSlowReader: a frame that takes longer than the time-out goes through as long
+// as some of it is taken; one of which nothing is taken breaks the connection.
+func TestSlowReader(t *testing.T) {
+	a, b := pair(t)
+	c := NewConn(a, 400*time.Millisecond)
+	data := make([]byte, 1<<20)
+	rand.New(rand.NewSource(1)).Read(data)
+	f := &Frame{Raft: []clamp.Message{{Type: clamp.MsgAppend, Entries: []clamp.Entry{{Index: 1, Data: data}}}}}
+	sent := make(chan error, 2)
+	go func() { sent <- c.Send(f); sent <- c.Send(f) }()
+	got, err := NewConn(slow{b}, time.Second).Receive(0)
+	if err != nil || !reflect.DeepEqual(got, f) {
+		t.Fatalf("the frame did not come through: %v", err)
+	}
+	if err := <-sent; err != nil {
+		t.Error(err)
+	}
+	if err := <-sent; err == nil {
+		t.Error("a frame that nobody read was sent")
+	}
+}
+
+// slow takes a little at a time, a megabyte in a second or more.
+type slow struct{ net.Conn }
+
+func (s slow) Read(b []byte) (int, error) {
+	time.Sleep(4 * time.Millisecond)
+	return s.Conn.Read(b[:min(len(b), 4096)])
+}
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -26,6 +26,10 @@
 	kick  chan struct{} // the peer has shown itself
 	ctx   context.Context
 	stop  context.CancelFunc
+	// log carries appends and snapshots, nil until there are any and in that link
+	// itself.
+	log       *link
+	forTheLog bool
 }
 
 type linkSet struct {
@@ -53,7 +57,7 @@
 	for _, m := range ms.All() {
 		s.note(m.ID, m.Addr)
 		if m.ID != s.l.self.ID && m.Addr != s.l.self.Addr {
-			s.get(m.Addr) // begins to connect ahead of the first message
+			s.logLink(m.Addr) // begins to connect ahead of the first message
 		}
 	}
 }
@@ -92,36 +96,23 @@
 func (s *linkSet) get(addr string) *link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.getLocked(addr)
+}
+
+func (s *linkSet) getLocked(addr string) *link {
 	k := s.byAddr[addr]
 	if k == nil {
-		k = &link{addr: addr, queue: make(chan *dowel.Frame, 256), asks: map[uint64]chan *dowel.Answer{}, kick: make(chan struct{}, 1)}
-		k.ctx, k.stop = context.WithCancel(s.l.ctx)
+		k = s.begin(s.l.ctx, addr, false)
 		s.byAddr[addr] = k
-		go s.l.turnLink(k)
 	}
 	return k
 }
 
-// send queues messages for their peers, those of one peer in one frame.
-func (s *linkSet) send(ms []clamp.Message) {
-	for len(ms) > 0 {
-		to := ms[0].To
-		var mine, rest []clamp.Message
-		for _, m := range ms {
-			if m.To == to {
-				mine = append(mine, m)
-			} else {
-				rest = append(rest, m)
-			}
-		}
-		ms = rest
-		if addr := s.addr(to); addr != "" && addr != s.l.self.Addr {
-			select {
-			case s.get(addr).queue <- &dowel.Frame{Raft: mine}:
-			default:
-			}
-		}
-	}
+func (s *linkSet) begin(ctx context.Context, addr string, forTheLog bool) *link {
+	k := &link{addr: addr, queue: make(chan *dowel.Frame, 256), asks: map[uint64]chan *dowel.Answer{}, kick: make(chan struct{}, 1), forTheLog: forTheLog}
+	k.ctx, k.stop = context.WithCancel(ctx)
+	go s.l.turnLink(k)
+	return k
 }
 
 var errNotSent = errors.New("lathe: peer is not connected")
@@ -191,18 +182,20 @@
 // was refused waits.
 func (s *linkSet) shows(addr string) {
 	s.mu.Lock()
-	k := s.byAddr[addr]
-	s.mu.Unlock()
-	if k == nil {
-		return
+	var both []*link
+	if k := s.byAddr[addr]; k != nil {
+		both = append(both, k)
+		if k.log != nil {
+			both = append(both, k.log)
+		}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.up {
-		select {
-		case k.kick <- struct{}{}:
-		default:
+	s.mu.Unlock()
+	for _, k := range both {
+		k.mu.Lock()
+		if !k.up {
+			poke(k.kick)
 		}
+		k.mu.Unlock()
 	}
 }
 
@@ -248,9 +241,13 @@
 		}
 		conn.WriteTimeout = l.timing.Silence
 		backoff = l.timing.Heartbeat / 2
-		// Of what was queued while the peer was away only the newest matters.
-		for len(k.queue) > cap(k.queue)/8 {
-			<-k.queue
+		if k.forTheLog {
+			l.resumeLog(k)
+		} else {
+			// Of what was queued while the peer was away only the newest matters.
+			for len(k.queue) > cap(k.queue)/8 {
+				<-k.queue
+			}
 		}
 		k.mu.Lock()
 		k.up = true
--- /dev/null
+++ b/internal/lathe/transfer_test.go
@@ -0,0 +1,166 @@
+package lathe
+
+import (
+	"math/rand"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"lichentray/clamp"
+	"lichentray/internal/dowel"
+	"lichentray/rack"
+)
+
+// strait is a link of so many bytes a second that several connections share.
+type strait struct {
+	mu    sync.Mutex
+	rate  int
+	free  time.Time
+	total int
+}
+
+func (s *strait) sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+type straitConn struct {
+	net.Conn
+	s *strait
+}
+
+func (c straitConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), 4096)])
+	c.s.mu.Lock()
+	c.s.total += n
+	if now := time.Now(); c.s.free.Before(now) {
+		c.s.free = now
+	}
+	c.s.free = c.s.free.Add(time.Second * time.Duration(n) / time.Duration(c.s.rate))
+	wait := time.Until(c.s.free)
+	c.s.mu.Unlock()
+	time.Sleep(wait) // the pace of the link
+	return n, err
+}
+
+// TestSnapshotOverANarrowLink: a new member gets a state that takes longer than the
+// connections' time-out, over a link that carries nothing else, while changes go on.
+// The member is the core of consensus alone; the leader and the wire are whole.
+func TestSnapshotOverANarrowLink(t *testing.T) {
+	g := newGroup(t, 1, nil)
+	l := g.nodes[0]
+	r := rand.New(rand.NewSource(1))
+	put := func(key string, size int) (err error) {
+		value := make([]byte, size)
+		r.Read(value)
+		_, err = l.Do(rack.Command{Txn: &rack.Txn{Then: []rack.Write{{Key: key, Value: value}}}})
+		return err
+	}
+	const state = 3 << 20
+	until(t, "the state", func() bool { return put("account/large", state) == nil })
+	until(t, "a snapshot of it", func() bool {
+		if err := put("account/small", 200<<10); err != nil {
+			t.Fatal(err)
+		}
+		first := make(chan int, 1)
+		l.post(func() { first <- l.node.LogSize() })
+		return <-first < 3
+	})
+
+	addr := net.JoinHostPort("127.0.0.31", "0")
+	ln, err := net.Listen("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	addr = ln.Addr().String()
+	s := &strait{rate: 1 << 20}
+	got := make(chan clamp.Message, 64)
+	go func() {
+		for {
+			raw, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer raw.Close()
+				c, _, err := dowel.Accept(straitConn{raw, s}, 30*time.Second)
+				for err == nil {
+					var f *dowel.Frame
+					if f, err = c.Receive(0); err == nil {
+						for _, m := range f.Raft {
+							got <- m
+						}
+					}
+				}
+			}()
+		}
+	}()
+	self := clamp.Member{ID: 1<<63 | 5, Addr: addr}
+	out, err := dowel.Dial(t.Context(), l.self.Addr, 5*time.Second, dowel.Hello{Role: dowel.Peer, Node: "late", ID: self.ID, Addr: addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(out.Close)
+	if err := out.Send(&dowel.Frame{Ask: &dowel.Ask{ID: 1, Join: &self}}); err != nil {
+		t.Fatal(err)
+	}
+
+	n := clamp.New(clamp.Config{ID: self.ID, Heartbeat: l.timing.Heartbeat, Election: l.timing.Election, Rand: rand.Int63n}, 0, clamp.Saved{})
+	start := time.Now()
+	installed := 0
+	tick := time.NewTicker(l.timing.Tick)
+	defer tick.Stop()
+	change := time.NewTicker(100 * time.Millisecond)
+	defer change.Stop()
+	var last uint64
+	for n.Applied() == 0 || n.Applied() < last {
+		if time.Since(start) > time.Minute {
+			t.Fatalf("at %d of %d after %v, %d bytes were sent", n.Applied(), last, time.Since(start), s.sent())
+		}
+		select {
+		case m := <-got:
+			n.Step(time.Since(start), m)
+		case <-tick.C:
+			n.Tick(time.Since(start))
+		case <-change.C:
+			if installed == 0 {
+				done := make(chan uint64, 1)
+				l.post(func() {
+					i, _, _ := l.node.Propose(rack.EncodeCommand(rack.Command{Txn: &rack.Txn{Then: []rack.Write{{Key: "account/tick", Value: make([]byte, 2000)}}}}))
+					done <- i
+				})
+				last = max(last, <-done)
+			}
+		}
+		e := n.Ready()
+		send := e.Send
+		if e.Write != nil {
+			send = append(send, e.Write.After...)
+			if k := len(e.Write.Entries); k > 0 {
+				n.Persisted(e.Write.Entries[k-1].Index, e.Write.Entries[k-1].Term)
+			}
+		}
+		if e.Install != nil {
+			installed++
+			if err := rack.New().Restore(e.Install.Data); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(send) > 0 {
+			if err := out.Send(&dowel.Frame{Raft: send}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	total := s.sent()
+	t.Logf("caught up after %v, %d bytes were sent", time.Since(start), total)
+	if installed != 1 {
+		t.Errorf("%d snapshots were installed", installed)
+	}
+	if total > state*3/2 {
+		t.Errorf("%d bytes were sent for a state of %d", total, state)
+	}
+}
