chest: names are synced in order, rows have checksums, an unreadable state is set aside

A store that was being set aside could come back: a new file under the old write-ahead log gave the old identity with neither its vote nor its entries. SQLite does not see a flipped bit in a row. An Open that failed kept its lock, which refused the next one.

Change: the store is renamed and the folder synced before its write-ahead log is, and that before anything new is made; a log that stands alone is set aside too; a disk with signs of a life before is never given its first identity; the folder is synced before an identity is used. Rows carry a CRC-32; stores without are read as they were. Open takes a check, and what it refuses is set aside as damage is. Of a set-aside file 4 MiB are kept.

Conclusion: an identity comes with all that it promised, or not at all.

--- a/internal/chest/chest.go
+++ b/internal/chest/chest.go
@@ -12,6 +12,7 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"os"
 	"path/filepath"
@@ -40,29 +41,92 @@
 
 const file = "chest.db"
 
+// keepBad is how many bytes of a file that was set aside are kept to look at: a
+// full copy beside the new store may be more than the disk holds.
+const keepBad = 4 << 20
+
 // Open opens or makes the store in dir; an empty dir keeps it in memory. An
-// unreadable store is set aside: its identity is not used again, as it may have
-// forgotten a vote or an acknowledged entry. first, if not 0, is the identity
-// to use for an empty disk.
-func Open(dir string, first uint64) (*Chest, Identity, clamp.Saved, error) {
+// unreadable store, or one that check refuses, is set aside: its identity is not
+// used again, as it may have forgotten a vote or an acknowledged entry. first, if not
+// 0, is the identity to use for an empty disk.
+//
+// When it returns, the identity is durable, and nothing that was set aside can come
+// back under its name after a loss of power.
+func Open(dir string, first uint64, check func(clamp.Saved) error) (*Chest, Identity, clamp.Saved, error) {
 	c := &Chest{dir: dir}
+	if dir != "" {
+		if _, err := os.Stat(filepath.Join(dir, file)); errors.Is(err, os.ErrNotExist) {
+			// A write-ahead log left by itself is not to be played into a new store.
+			if err := c.setAside(); err != nil {
+				return c, Identity{}, clamp.Saved{}, err
+			}
+		}
+		if bad, err := filepath.Glob(filepath.Join(dir, file+"*.bad")); err != nil || len(bad) > 0 {
+			first = 0 // the disk had a life before
+		}
+	}
 	id, saved, err := c.load(first)
-	if err == nil || dir == "" || isRefusal(err) {
-		return c, id, saved, err
+	if err == nil && check != nil {
+		err = check(saved)
 	}
-	c.Close()
-	for _, f := range []string{file, file + "-wal"} {
-		old := filepath.Join(dir, f)
-		if e := os.Rename(old, old+".bad"); e != nil && !errors.Is(e, os.ErrNotExist) {
-			return c, id, saved, fmt.Errorf("chest: set aside: %w", e)
+	if err == nil && dir != "" {
+		err = syncFolder(dir)
+	} else if err != nil && dir != "" && !isRefusal(err) {
+		why := err
+		c.Close()
+		if err = c.setAside(); err == nil {
+			id, saved, err = c.load(0)
 		}
+		if err == nil {
+			err = syncFolder(dir)
+		}
+		id.Discarded = why
+	}
+	if err != nil {
+		c.Close() // or its lock refuses the next try
 	}
-	why := err
-	id, saved, err = c.load(0)
-	id.Discarded = why
 	return c, id, saved, err
 }
 
+// setAside renames the store's files. Each change of a name that the folder has not
+// synced may be kept or lost by itself: the store goes before the log that completes
+// it, or it could be found without that and under its identity, and no new file is
+// made before both are gone for good.
+func (c *Chest) setAside() error {
+	for _, f := range []string{file, file + "-wal", file + "-journal"} {
+		old := filepath.Join(c.dir, f)
+		err := os.Rename(old, old+".bad")
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err == nil {
+			err = syncFolder(c.dir)
+		}
+		if err == nil {
+			if info, e := os.Stat(old + ".bad"); e == nil && info.Size() > keepBad {
+				err = os.Truncate(old+".bad", keepBad)
+			}
+		}
+		if err != nil {
+			return fmt.Errorf("chest: set aside: %w", err)
+		}
+	}
+	return nil
+}
+
+// syncFolder makes the names in a folder durable.
+var syncFolder = func(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return fmt.Errorf("chest: folder: %w", err)
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return fmt.Errorf("chest: sync folder: %w", err)
+	}
+	return nil
+}
+
 // isRefusal tells a disk that refuses work from a file that is damaged.
 func isRefusal(err error) bool {
 	var se sqlite3.Error
@@ -93,21 +157,33 @@
 		"PRAGMA cache_size=-512",
 		"PRAGMA wal_autocheckpoint=500",
 		"PRAGMA journal_size_limit=4194304",
-		"CREATE TABLE IF NOT EXISTS log (idx INTEGER PRIMARY KEY, term INTEGER NOT NULL, type INTEGER NOT NULL, data BLOB NOT NULL)",
-		"CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID",
+		"CREATE TABLE IF NOT EXISTS log (idx INTEGER PRIMARY KEY, term INTEGER NOT NULL, type INTEGER NOT NULL, data BLOB NOT NULL, sum INTEGER)",
+		"CREATE TABLE IF NOT EXISTS meta (name TEXT PRIMARY KEY, value BLOB NOT NULL, sum INTEGER) WITHOUT ROWID",
 	} {
 		if _, err := c.conn.Exec(q, nil); err != nil {
 			return fmt.Errorf("chest: %s: %w", q, err)
 		}
 	}
+	// Stores of before had no checksums.
+	for _, table := range []string{"log", "meta"} {
+		has := false
+		if err := c.rows("SELECT 1 FROM pragma_table_info('"+table+"') WHERE name = 'sum'", func([]driver.Value) error { has = true; return nil }); err != nil {
+			return err
+		}
+		if !has {
+			if _, err := c.conn.Exec("ALTER TABLE "+table+" ADD COLUMN sum INTEGER", nil); err != nil {
+				return fmt.Errorf("chest: add checksums: %w", err)
+			}
+		}
+	}
 	for _, p := range []struct {
 		to  *driver.Stmt
 		sql string
 	}{
-		{&c.insert, "INSERT OR REPLACE INTO log VALUES (?,?,?,?)"},
+		{&c.insert, "INSERT OR REPLACE INTO log VALUES (?,?,?,?,?)"},
 		{&c.cut, "DELETE FROM log WHERE idx >= ?"},
 		{&c.drop, "DELETE FROM log WHERE idx <= ?"},
-		{&c.set, "INSERT OR REPLACE INTO meta VALUES (?,?)"},
+		{&c.set, "INSERT OR REPLACE INTO meta VALUES (?,?,?)"},
 	} {
 		st, err := c.conn.Prepare(p.sql)
 		if err != nil {
@@ -143,14 +219,14 @@
 		return
 	}
 	meta := map[string][]byte{}
-	err = c.rows("SELECT name, value FROM meta", func(v []driver.Value) error {
+	err = c.rows("SELECT name, value, sum FROM meta", func(v []driver.Value) error {
 		name, _ := v[0].(string)
 		if b, ok := v[0].([]byte); ok {
 			name = string(b)
 		}
 		value, _ := v[1].([]byte)
 		meta[name] = append([]byte(nil), value...)
-		return nil
+		return verify(v[2], sumOf(value, name))
 	})
 	if err != nil {
 		return
@@ -168,7 +244,7 @@
 		}
 		var raw [8]byte
 		binary.BigEndian.PutUint64(raw[:], id.ID)
-		err = c.tx(func() error { return exec(c.set, "id", raw[:]) })
+		err = c.tx(func() error { return c.put("id", raw[:]) })
 		return
 	}
 	for name, to := range map[string]any{"hard": &saved.Hard, "snapshot": &saved.Snapshot} {
@@ -178,9 +254,15 @@
 			}
 		}
 	}
+	if raw, ok := meta["state"]; ok {
+		saved.Snapshot.Data = raw
+	}
 	next := saved.Snapshot.Index + 1
-	err = c.rows("SELECT idx, term, type, data FROM log ORDER BY idx", func(v []driver.Value) error {
+	err = c.rows("SELECT idx, term, type, data, sum FROM log ORDER BY idx", func(v []driver.Value) error {
 		data, _ := v[3].([]byte)
+		if err := verify(v[4], sumOf(data, v[0], v[1], v[2])); err != nil {
+			return err
+		}
 		e := clamp.Entry{Index: uint64(v[0].(int64)), Term: uint64(v[1].(int64)), Type: clamp.EntryType(v[2].(int64)), Data: append([]byte(nil), data...)}
 		if e.Index < next {
 			return nil
@@ -216,6 +298,27 @@
 	}
 }
 
+// errSum tells damage that SQLite does not notice.
+var errSum = errors.New("chest: checksum does not match")
+
+// sumOf is the checksum of a row: of its data and of what names it.
+func sumOf(data []byte, names ...any) int64 {
+	return int64(crc32.Update(crc32.Checksum([]byte(fmt.Sprint(names...)), castagnoli), castagnoli, data))
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func verify(held driver.Value, sum int64) error {
+	if held != nil && held != sum {
+		return errSum
+	}
+	return nil
+}
+
+func (c *Chest) put(name string, value []byte) error {
+	return exec(c.set, name, value, sumOf(value, name))
+}
+
 func exec(s driver.Stmt, args ...driver.Value) error {
 	named := make([]driver.NamedValue, len(args))
 	for i, a := range args {
@@ -252,14 +355,22 @@
 func (c *Chest) Save(hard *clamp.HardState, snapshot *clamp.Snapshot, replace bool, entries []clamp.Entry) error {
 	return c.tx(func() error {
 		if hard != nil {
-			if err := exec(c.set, "hard", encode(*hard)); err != nil {
+			if err := c.put("hard", encode(*hard)); err != nil {
 				return err
 			}
 		}
 		if snapshot != nil {
-			if err := exec(c.set, "snapshot", encode(*snapshot)); err != nil {
+			// The state goes as it is: a copy of it may be much of the memory.
+			bare := *snapshot
+			bare.Data = nil
+			if err := c.put("snapshot", encode(bare)); err != nil {
 				return err
 			}
+			if snapshot.Data != nil {
+				if err := c.put("state", snapshot.Data); err != nil {
+					return err
+				}
+			}
 			if err := exec(c.drop, int64(snapshot.Index)); err != nil {
 				return err
 			}
@@ -274,7 +385,7 @@
 			}
 		}
 		for _, e := range entries {
-			if err := exec(c.insert, int64(e.Index), int64(e.Term), int64(e.Type), append([]byte{}, e.Data...)); err != nil {
+			if err := exec(c.insert, int64(e.Index), int64(e.Term), int64(e.Type), append([]byte{}, e.Data...), sumOf(e.Data, int64(e.Index), int64(e.Term), int64(e.Type))); err != nil {
 				return err
 			}
 		}
--- a/internal/chest/chest_test.go
+++ b/internal/chest/chest_test.go
@@ -15,7 +15,7 @@
 func TestAgainstPlainLog(t *testing.T) {
 	dir := t.TempDir()
 	r := rand.New(rand.NewSource(5))
-	c, id, _, err := Open(dir, 0)
+	c, id, _, err := Open(dir, 0, nil)
 	if err != nil || !id.Fresh || id.ID>>63 != 1 {
 		t.Fatalf("fresh store: %+v, %v", id, err)
 	}
@@ -54,7 +54,7 @@
 			c.Close()
 			var got clamp.Saved
 			var again Identity
-			c, again, got, err = Open(dir, 0)
+			c, again, got, err = Open(dir, 0, nil)
 			if err != nil || again.Fresh || again.ID != id.ID {
 				t.Fatalf("opened again as %+v, %v", again, err)
 			}
@@ -85,7 +85,7 @@
 		},
 	} {
 		dir := t.TempDir()
-		c, first, _, err := Open(dir, 42)
+		c, first, _, err := Open(dir, 42, nil)
 		if err != nil || first.ID != 42 {
 			t.Fatalf("%+v, %v", first, err)
 		}
@@ -103,7 +103,7 @@
 		if err := os.WriteFile(path, damage(b), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		c, second, saved, err := Open(dir, 42)
+		c, second, saved, err := Open(dir, 42, nil)
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
@@ -121,7 +121,7 @@
 // the next one goes through.
 func TestRefusedWrite(t *testing.T) {
 	dir := t.TempDir()
-	c, _, _, err := Open(dir, 0)
+	c, _, _, err := Open(dir, 0, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -145,7 +145,7 @@
 		t.Fatal(err)
 	}
 	c.Close()
-	c, _, saved, err := Open(dir, 0)
+	c, _, saved, err := Open(dir, 0, nil)
 	if err != nil || len(saved.Entries) != 2 || saved.Hard.Term != 0 {
 		t.Errorf("found %+v, %v", saved, err)
 	}
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -242,12 +242,12 @@
 	if set.Bootstrap && isSeed {
 		first = memberID(addr)
 	}
-	ch, id, saved, err := chest.Open(set.DataDirectory, first)
+	ch, id, saved, err := chest.Open(set.DataDirectory, first, l.restore)
 	for tries := 0; err != nil && tries < 20; tries++ {
 		// A disk in trouble refuses for seconds; a start waits for it.
 		l.nDiskFail.Inc()
 		time.Sleep(l.timing.Election / 2)
-		ch, id, saved, err = chest.Open(set.DataDirectory, first)
+		ch, id, saved, err = chest.Open(set.DataDirectory, first, l.restore)
 	}
 	if err != nil {
 		stop()
@@ -265,12 +265,6 @@
 			return nil, fmt.Errorf("bootstrap: %w", err)
 		}
 	}
-	if saved.Snapshot.Data != nil {
-		if err := l.store.Restore(saved.Snapshot.Data); err != nil {
-			stop()
-			return nil, err
-		}
-	}
 	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control}
 	l.cache.Reset(l.store.Revision())
 	l.noteAll()
--- a/internal/lathe/transfer.go
+++ b/internal/lathe/transfer.go
@@ -67,3 +67,11 @@
 		}
 	})
 }
+
+// restore takes the state that the disk holds.
+func (l *Lathe) restore(saved clamp.Saved) error {
+	if saved.Snapshot.Data == nil {
+		return nil
+	}
+	return l.store.Restore(saved.Snapshot.Data)
+}
--- a/internal/lathe/transfer_test.go
+++ b/internal/lathe/transfer_test.go
@@ -1,6 +1,7 @@
 package lathe
 
 import (
+	"fmt"
 	"math/rand"
 	"net"
 	"sync"
@@ -8,6 +9,7 @@
 	"time"
 
 	"lichentray/clamp"
+	"lichentray/internal/chest"
 	"lichentray/internal/dowel"
 	"lichentray/rack"
 )
@@ -164,3 +166,29 @@
 		t.Errorf("%d bytes were sent for a state of %d", total, state)
 	}
 }
+
+// TestUnreadableStateAtAStart: a node whose snapshot cannot be read doesn't end by
+// itself; it joins as a new member and has what the others have.
+func TestUnreadableStateAtAStart(t *testing.T) {
+	g := newGroup(t, 3, nil)
+	until(t, "a configuration", func() bool { return g.nodes[0].Replace(fmt.Appendf(nil, text, 5)) == nil })
+	old := g.nodes[2].self.ID
+	g.nodes[2].Close()
+	c, _, saved, err := chest.Open(g.disk(2), 0, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := saved.Snapshot.Index + uint64(len(saved.Entries))
+	if err := c.Save(nil, &clamp.Snapshot{Index: last, Term: saved.Hard.Term, Members: saved.Snapshot.Members, Data: []byte("no state")}, false, nil); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	g.start(2, false)
+	if g.nodes[2].self.ID == old {
+		t.Error("the identity is used again")
+	}
+	until(t, "the node reads the configuration", func() bool {
+		got, err := g.nodes[2].Configuration()
+		return err == nil && string(got) == fmt.Sprintf(text, 5)
+	})
+}
