--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -556,23 +556,6 @@
 	<-l.portDone
 }
 
-// Resign hands leadership on, if this node has it, and waits a little for the
-// new leader.
-func (l *Lathe) Resign(wait time.Duration) {
-	l.closing.Store(true)
-	end := time.Now().Add(wait)
-	l.post(func() { l.node.Transfer() })
-	for time.Now().Before(end) {
-		l.mu.RLock()
-		v := l.view
-		l.mu.RUnlock()
-		if v.role != clamp.Leader && v.leader != 0 {
-			return
-		}
-		time.Sleep(l.timing.Tick)
-	}
-}
-
 type diskJob struct {
 	hard    *clamp.HardState
 	install *clamp.Snapshot
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -461,29 +461,3 @@
 	}
 	return &dowel.Answer{ID: id, Result: r}
 }
-
-// admit takes a node in as a learner; only the leader can.
-func (l *Lathe) admit(m clamp.Member) error {
-	got := make(chan error, 1)
-	l.post(func() {
-		switch {
-		case l.node.Role() != clamp.Leader:
-			got <- errNotLeader
-		case l.node.Members().Has(m.ID):
-			got <- nil
-		default:
-			if err := l.node.ProposeMembers(l.node.Members().WithLearner(m)); err != nil {
-				got <- notch.New(notch.Unavailable, "%v", err)
-				return
-			}
-			l.log.Info("node joins as a learner", "member", hexID(m.ID), "address", m.Addr)
-			got <- nil
-		}
-	})
-	select {
-	case err := <-got:
-		return err
-	case <-l.ctx.Done():
-		return errNotLeader
-	}
-}
