A member that leaves has its vote taken over before its process ends; five vote where five can

Cause, each shown by a test that is red without its part of the change (simulated groups): a voter told to end stayed a voter until it had been silent for contact_s/2, so one more loss of three left no majority; of five machines that count three voted; a voter whose disk hangs is heard and counted as living; a learner 100 entries behind, however old these are, was taken as caught up, and its vote then stopped the group; just after an election the old and the new life of an address were heard at the same moment and the new one was given up; a voter that was replaced while away saw itself as a voter by its old log and never asked to be taken in again.

Change: the step towards a full membership is a pure function of what the leader knows of its members, compared with a plain model over 20000 random groups and driven through the simulator with losses, wipes, replacements, freezes, hanging disks and leaves. A leaving member asks the leader (Leave) until it is let go, a third of grace_period_s at the most: a standby votes and the leaver follows only, what was committed when it asked is held by every voter that serves. The step after a change follows at once, not at the next duty. All that count vote up to five, a node whose machine does not count only while voters lack.

--- a/clamp/membership.go
+++ b/clamp/membership.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"time"
 )
 
 // Changes of membership, one voter at a time.
@@ -50,6 +51,16 @@
 	return n.memberships[len(n.memberships)-1].index > n.commit || n.commit < n.termStart
 }
 
+// Stalled tells for how long a member has lacked entries and acknowledged none: it may
+// be heard all the same, as one whose disk hangs is.
+func (n *Node) Stalled(id uint64) time.Duration {
+	p := n.peers[id]
+	if p == nil || p.match >= n.last() {
+		return 0
+	}
+	return n.now - p.ackedAt
+}
+
 // ProposeMembers appends a membership that differs from the present one by at
 // most one voter.
 func (n *Node) ProposeMembers(m Membership) error {
--- a/clamp/types.go
+++ b/clamp/types.go
@@ -16,6 +16,8 @@
 	ID   uint64
 	Addr string // where its peers reach it
 	API  string // where its callers reach it
+	// Uncounted marks a node that may go at any time, whatever the group's tolerance.
+	Uncounted bool
 }
 
 // Membership is who votes and who only follows.
--- a/cmd/vise/main.go
+++ b/cmd/vise/main.go
@@ -79,7 +79,8 @@
 		case <-sig.Stop:
 			grace := set.Bounds.GracePeriod.D()
 			log.Info("stopping")
-			node.Resign(grace / 6)
+			// Two thirds at the most, the rest is for a slow machine.
+			node.Resign(grace / 3)
 			end(srv, grace/3)
 			return nil
 		}
--- a/internal/dowel/dowel.go
+++ b/internal/dowel/dowel.go
@@ -64,6 +64,7 @@
 	Read    bool          // a confirmed read point
 	Join    *clamp.Member // take this node in as a learner
 	Passed  bool          // a Join that was passed on to the leader
+	Leave   uint64        // may this member's process end? asked again until it may
 	List    bool          // a list behind a read point, then the watch
 	Least   uint64        // the list or watch must reach this revision
 	Watch   bool          // events after Least
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -20,6 +20,7 @@
 // duties are what the actor does by the clock.
 func (l *Lathe) duties() {
 	now := l.now()
+	l.tendMembers(now)
 	if now-l.checkedAt < 4*l.timing.Heartbeat {
 		return
 	}
@@ -29,12 +30,12 @@
 	l.countProxies(now)
 	ms := l.node.Members()
 	if l.node.Role() != clamp.Leader {
-		if !ms.Has(l.self.ID) || (l.node.Leader() == 0 && !ms.Voter(l.self.ID)) {
+		// A voter without a leader for long may have been replaced meanwhile.
+		if !ms.Has(l.self.ID) || (l.node.Leader() == 0 && (!ms.Voter(l.self.ID) || now-l.node.HeardAt() > l.timing.Dead)) {
 			l.join(ms)
 		}
 		return
 	}
-	l.repairMembers(now, ms)
 	l.findCrashed(now)
 	l.dropProxies(now)
 	l.endReturns(now)
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -102,6 +102,9 @@
 	leader    uint64
 	logBytes  int
 	checkedAt time.Duration
+	roster    *roster // of members, at the leader
+	tendedAt  time.Duration
+	tendNow   bool // the membership, without waiting for the next duty
 	trimAt    time.Duration
 	marks     []mark
 	membersAt uint64 // log index of the membership that the links follow
@@ -271,7 +274,8 @@
 			return nil, err
 		}
 	}
-	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control}
+	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control, Uncounted: !set.QuorumMember}
+	l.roster = newRoster(set, l.timing, l.placeOf)
 	l.cache.Reset(l.store.Revision())
 	l.noteAll()
 	l.index = saved.Snapshot.Index
@@ -443,6 +447,7 @@
 			l.mu.Unlock()
 		}
 	} else if en.Type == clamp.Change {
+		l.tendNow = true // a replacement takes two
 		l.log.Info("membership changed", "index", en.Index, "voters", len(l.node.Members().Voters), "learners", len(l.node.Members().Learners))
 	}
 	l.logBytes += len(en.Data)
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -428,6 +428,10 @@
 		l.post(func() { at <- l.readIndex(done) })
 		ans = l.await(a.ID, at, done)
 		ans.Index = ans.Result.Revision
+	case a.Leave != 0:
+		if err := l.letGo(a.Leave); err != nil {
+			ans = failed(a.ID, err)
+		}
 	case a.Join != nil:
 		if err := l.admit(*a.Join); err != nil {
 			ans = failed(a.ID, err)
--- a/internal/lathe/members.go
+++ b/internal/lathe/members.go
@@ -4,115 +4,334 @@
 	"time"
 
 	"lichentray/clamp"
+	"lichentray/internal/caliper"
 	"lichentray/internal/dowel"
 	"lichentray/internal/notch"
 )
 
 // Who votes and who follows only: joining, leaving and replacement.
 
-// join asks every control-plane node known to be taken in.
-func (l *Lathe) join(ms clamp.Membership) {
-	asked := map[string]bool{l.self.Addr: true}
-	var addrs []string
-	for _, m := range ms.All() {
-		addrs = append(addrs, m.Addr)
-	}
-	for _, s := range l.seeds() {
-		addrs = append(addrs, l.set.InternalAddr(s))
-	}
-	l.mu.RLock()
-	for _, n := range l.pointed {
-		addrs = append(addrs, n.Addr)
+// tolerance is what may be lost at once (fault_tolerance).
+type tolerance struct {
+	machines int
+	places   int // zones or regions
+}
+
+// mostVoters bounds the voters where the tolerance asks for fewer: beyond it each
+// further one costs latency and bears nothing that the pages name.
+const mostVoters = 5
+
+// least is how many voters the tolerance asks for.
+func (t tolerance) least() int { return 2*t.machines + 1 }
+
+// share is how many of so many votes one place may hold: as many places as may be
+// lost must not hold a majority together.
+func (t tolerance) share(votes int) int {
+	if t.places == 0 {
+		return votes
 	}
-	l.mu.RUnlock()
-	self := l.self
-	for _, a := range addrs {
-		if asked[a] {
-			continue
+	return max(1, (votes-1)/2/t.places)
+}
+
+// voters is how many members should vote where so many could in each place: an odd
+// number, as large as they and the shares allow.
+func (t tolerance) voters(could map[string]int) int {
+	w := max(t.least(), mostVoters)
+	for ; w > t.least(); w -= 2 {
+		n := 0
+		for _, k := range could {
+			n += min(k, t.share(w))
+		}
+		if n >= w {
+			break
 		}
-		asked[a] = true
-		go func() {
-			// Refused or unheard, it is asked again at the next duty.
-			_, _, _ = l.links.ask(a, &dowel.Ask{Join: &self}, l.timing.Election)
-		}()
 	}
+	return w
 }
 
-// repairMembers takes one step towards a full set of living voters.
-func (l *Lathe) repairMembers(now time.Duration, ms clamp.Membership) {
-	if l.node.Changing() {
-		return
-	}
-	newest := map[string]uint64{}
-	for _, m := range ms.All() {
-		if old, ok := newest[m.Addr]; !ok || l.node.Heard(m.ID) > l.node.Heard(old) {
-			newest[m.Addr] = m.ID
+// standing is what the leader knows of a member.
+type standing struct {
+	alive    bool // heard of late and, if it votes, acknowledging what it is sent
+	leaving  bool // its process is about to end
+	replaced bool // another life is heard at its address
+	caughtUp bool // holds all but the newest entries
+	unheard  bool // for so long that it need not be kept
+	match    uint64
+	place    string
+}
+
+// serves tells whether the group may count on the member.
+func (s standing) serves() bool { return s.alive && !s.leaving && !s.replaced }
+
+// worse tells which of two voters that the group can't count on goes first.
+func (s standing) worse(t standing) bool {
+	rank := func(s standing) int {
+		switch {
+		case s.replaced:
+			return 2
+		case !s.alive:
+			return 1
 		}
+		return 0 // leaving: it acknowledges still
 	}
-	alive := func(m clamp.Member) bool {
-		return m.ID == l.self.ID || (newest[m.Addr] == m.ID && now-l.node.Heard(m.ID) < l.timing.Dead)
-	}
-	var dead *clamp.Member
-	living := 0
-	votes := map[string]int{} // by place, of those that live
+	return rank(s) > rank(t)
+}
+
+// nextMembership takes one step, of one voter at most, towards a full set of voters
+// that can be counted on. self leads. why is empty when there is nothing to do.
+func nextMembership(ms clamp.Membership, self uint64, tol tolerance, of func(clamp.Member) standing) (next clamp.Membership, why string) {
+	var gone, candidate *clamp.Member
+	goners, serving, alive := 0, 0, 0
+	votes := map[string]int{} // by place, of the voters that serve
 	for i, m := range ms.Voters {
-		if alive(m) {
-			living++
-			votes[l.placeOf(m)]++
-		} else {
-			dead = &ms.Voters[i]
+		s := of(m)
+		if s.alive && !s.replaced {
+			alive++
+		}
+		if s.serves() {
+			serving++
+			votes[s.place]++
+			continue
+		}
+		goners++
+		if gone == nil || s.worse(of(*gone)) {
+			gone = &ms.Voters[i]
 		}
 	}
-	want := 2*l.set.Tolerance.Machines + 1
-	// No place may hold a majority of the votes, or its loss stops the core.
-	most := want
-	if l.set.Tolerance.Regions+l.set.Tolerance.Zones > 0 {
-		most = (want - 1) / 2
+	// Who could vote now, and who could once it has caught up: voters are added for
+	// the former and given up for the latter, so that one that lags for a moment
+	// moves nothing.
+	now, soon := map[string]int{}, map[string]int{}
+	for p, n := range votes {
+		now[p], soon[p] = n, n
+	}
+	for _, m := range ms.Learners {
+		if s := of(m); s.serves() && !m.Uncounted {
+			soon[s.place]++
+			if s.caughtUp {
+				now[s.place]++
+			}
+		}
 	}
-	var candidate *clamp.Member
+	n := len(ms.Voters)
+	want := tol.voters(now)
+	share := tol.share(max(want, n-1+n%2))
 	for i, m := range ms.Learners {
-		// Whoever follows within what one batch brings is caught up.
-		if !alive(m) || l.node.Match(m.ID)+100 < l.node.Last() || votes[l.placeOf(m)] >= most {
+		s := of(m)
+		if !s.serves() || !s.caughtUp || votes[s.place] >= share || (m.Uncounted && n >= tol.least()) {
 			continue
 		}
-		if candidate == nil || votes[l.placeOf(m)] < votes[l.placeOf(*candidate)] ||
-			(votes[l.placeOf(m)] == votes[l.placeOf(*candidate)] && l.node.Match(m.ID) > l.node.Match(candidate.ID)) {
+		if candidate == nil {
 			candidate = &ms.Learners[i]
+			continue
 		}
+		c := of(*candidate)
+		switch {
+		case m.Uncounted != candidate.Uncounted:
+			if m.Uncounted {
+				continue
+			}
+		case votes[s.place] != votes[c.place]:
+			if votes[s.place] > votes[c.place] {
+				continue
+			}
+		case s.match <= c.match:
+			continue
+		}
+		candidate = &ms.Learners[i]
 	}
 	crowded := false
-	for _, n := range votes {
-		crowded = crowded || n > most
+	for _, k := range votes {
+		crowded = crowded || k > share
 	}
-	var next clamp.Membership
-	why := ""
+	// Without the one to go, the others must be a majority that acknowledges.
+	left := alive
+	if gone != nil {
+		if s := of(*gone); s.alive && !s.replaced {
+			left--
+		}
+	}
+	canGo := gone != nil && left > (n-1)/2 && (n > tol.least() || serving > n/2)
 	switch {
-	case dead != nil && len(ms.Voters)%2 == 0 && living > len(ms.Voters)/2:
-		next, why = ms.WithLearner(*dead), "dead voter follows only"
-		if newest[dead.Addr] != dead.ID {
-			next, why = ms.Without(dead.ID), "replaced voter leaves"
-		}
-	case candidate != nil && (dead != nil || len(ms.Voters) < want || (crowded && len(ms.Voters)%2 == 1)):
-		next, why = ms.WithVoter(*candidate), "learner votes"
-	case len(ms.Voters) > want && len(ms.Voters)%2 == 0:
-		var slow *clamp.Member
+	case canGo && n%2 == 0:
+		return withoutVote(ms, *gone, of(*gone))
+	case candidate != nil && (gone != nil || n < want || (crowded && n%2 == 1)):
+		return ms.WithVoter(*candidate), "learner votes"
+	case canGo && goners >= 2 && n >= tol.least()+2:
+		// Nobody takes their place: three of three bear a loss, three of five none.
+		return withoutVote(ms, *gone, of(*gone))
+	case gone == nil && n%2 == 0 && n > tol.voters(soon):
+		var spare *clamp.Member
 		for i, m := range ms.Voters {
-			if m.ID == l.self.ID {
+			if m.ID == self {
 				continue
 			}
-			if n, has := votes[l.placeOf(m)], slow != nil; !has || n > votes[l.placeOf(*slow)] ||
-				(n == votes[l.placeOf(*slow)] && l.node.Match(m.ID) < l.node.Match(slow.ID)) {
-				slow = &ms.Voters[i]
+			s := of(m)
+			if spare == nil {
+				spare = &ms.Voters[i]
+			} else if t := of(*spare); votes[s.place] > votes[t.place] || (votes[s.place] == votes[t.place] && s.match < t.match) {
+				spare = &ms.Voters[i]
 			}
 		}
-		next, why = ms.WithLearner(*slow), "spare voter follows only"
-	default:
-		for _, m := range ms.Learners {
-			if newest[m.Addr] != m.ID || now-l.node.Heard(m.ID) > max(l.set.Bounds.Recovery.D(), 2*l.set.Bounds.CatchUp.D()) {
-				next, why = ms.Without(m.ID), "learner not heard leaves"
+		return ms.WithLearner(*spare), "spare voter follows only"
+	}
+	for _, m := range ms.Learners {
+		if s := of(m); s.replaced || s.unheard {
+			return ms.Without(m.ID), "learner not heard leaves"
+		}
+	}
+	return ms, ""
+}
+
+func withoutVote(ms clamp.Membership, m clamp.Member, s standing) (clamp.Membership, string) {
+	switch {
+	case s.replaced:
+		return ms.Without(m.ID), "replaced voter leaves"
+	case !s.alive:
+		return ms.WithLearner(m), "dead voter follows only"
+	}
+	return ms.WithLearner(m), "leaving voter follows only"
+}
+
+// mayLeave tells whether a member's process may end: what was committed when it asked,
+// up to mark, is held by every voter that serves, these are a majority, and without
+// the member the group bears what it is to bear, or nobody is there to take its vote.
+func mayLeave(ms clamp.Membership, self, id uint64, tol tolerance, mark uint64, of func(clamp.Member) standing) bool {
+	serving := 0
+	for _, m := range ms.Voters {
+		if s := of(m); s.serves() && m.ID != id {
+			serving++
+			if s.match < mark {
+				return false
 			}
 		}
 	}
+	n := len(ms.Voters)
+	if serving <= n/2 {
+		return false
+	}
+	if !ms.Voter(id) || serving-(n/2+1) >= tol.machines {
+		return true
+	}
+	if _, why := nextMembership(ms, self, tol, of); why != "" {
+		return false
+	}
+	for _, m := range ms.Learners {
+		if of(m).serves() && (!m.Uncounted || n < tol.least()) {
+			return false // it will vote instead
+		}
+	}
+	return true
+}
+
+// roster is a leader's view of its members over time. Its spans are fixed; the rest is
+// of one leadership.
+type roster struct {
+	tol     tolerance
+	dead    time.Duration // a voter not heard for so long is replaced
+	recent  time.Duration // entries younger than this need not be held to be caught up
+	leaves  time.Duration // a leaver that has not asked for so long stays
+	forget  time.Duration // a learner not heard for so long is given up
+	place   func(clamp.Member) string
+	term    uint64
+	marks   []logMark
+	leaving map[uint64]leave
+}
+
+type logMark struct {
+	at   time.Duration
+	last uint64
+}
+
+type leave struct {
+	asked  time.Duration // last
+	commit uint64        // when it asked first
+}
+
+func newRoster(set *caliper.Settings, t Timing, place func(clamp.Member) string) *roster {
+	f := set.Tolerance
+	return &roster{
+		tol:  tolerance{f.Machines, max(f.Zones, f.Regions)},
+		dead: t.Dead, recent: t.Election, leaves: t.Silence,
+		forget: max(set.Bounds.Recovery.D(), 2*set.Bounds.CatchUp.D()), place: place,
+	}
+}
+
+// note remembers how long the log of n, which leads, is now, and forgets what has had
+// its time.
+func (r *roster) note(n *clamp.Node, now time.Duration) {
+	if r.term != n.Term() {
+		r.term, r.marks, r.leaving = n.Term(), nil, map[uint64]leave{}
+	}
+	r.marks = append(r.marks, logMark{now, n.Last()})
+	for len(r.marks) > 1 && now-r.marks[1].at >= r.recent {
+		r.marks = r.marks[1:]
+	}
+	for id, x := range r.leaving {
+		if now-x.asked > r.leaves {
+			delete(r.leaving, id)
+		}
+	}
+}
+
+// standings gives what n, which leads, knows of each member.
+func (r *roster) standings(n *clamp.Node, now time.Duration) func(clamp.Member) standing {
+	ms := n.Members()
+	// Of two lives at one address the one heard last counts. Just after an election
+	// both may have been heard at the same moment; then neither is judged by it.
+	newest := map[string]time.Duration{}
+	for _, m := range ms.All() {
+		newest[m.Addr] = max(newest[m.Addr], n.Heard(m.ID))
+		if m.ID == n.ID() {
+			newest[m.Addr] = now + 1
+		}
+	}
+	return func(m clamp.Member) standing {
+		if m.ID == n.ID() {
+			return standing{alive: true, caughtUp: true, match: n.Match(m.ID), place: r.place(m)}
+		}
+		heard := n.Heard(m.ID)
+		_, leaving := r.leaving[m.ID]
+		return standing{
+			alive:    now-heard < r.dead && (!ms.Voter(m.ID) || n.Stalled(m.ID) < r.dead),
+			leaving:  leaving,
+			replaced: heard < newest[m.Addr],
+			caughtUp: len(r.marks) > 0 && n.Match(m.ID) >= r.marks[0].last,
+			unheard:  now-heard > r.forget,
+			match:    n.Match(m.ID),
+			place:    r.place(m),
+		}
+	}
+}
+
+// next gives the membership to be proposed now, and why, or why is empty.
+func (r *roster) next(n *clamp.Node, now time.Duration) (clamp.Membership, string) {
+	r.note(n, now)
+	if n.Changing() {
+		return clamp.Membership{}, ""
+	}
+	return nextMembership(n.Members(), n.ID(), r.tol, r.standings(n, now))
+}
+
+// leave takes a member's wish to leave and tells whether its process may end.
+func (r *roster) leave(n *clamp.Node, now time.Duration, id uint64) bool {
+	r.note(n, now)
+	x, known := r.leaving[id]
+	if !known {
+		x.commit = n.Commit()
+	}
+	x.asked = now
+	r.leaving[id] = x
+	return !n.Changing() && mayLeave(n.Members(), n.ID(), id, r.tol, x.commit, r.standings(n, now))
+}
+
+// tendMembers takes one step towards a full set of voters that can be counted on.
+func (l *Lathe) tendMembers(now time.Duration) {
+	if l.node.Role() != clamp.Leader || (now-l.tendedAt < 4*l.timing.Heartbeat && !l.tendNow) {
+		return
+	}
+	l.tendedAt, l.tendNow = now, false
+	next, why := l.roster.next(l.node, now)
 	if why == "" {
 		return
 	}
@@ -134,20 +353,31 @@
 	return ""
 }
 
-// Resign hands leadership on, if this node has it, and waits a little for the
-// new leader.
-func (l *Lathe) Resign(wait time.Duration) {
-	l.closing.Store(true)
-	end := time.Now().Add(wait)
-	l.post(func() { l.node.Transfer() })
-	for time.Now().Before(end) {
-		l.mu.RLock()
-		v := l.view
-		l.mu.RUnlock()
-		if v.role != clamp.Leader && v.leader != 0 {
-			return
+// join asks every control-plane node known to be taken in.
+func (l *Lathe) join(ms clamp.Membership) {
+	asked := map[string]bool{l.self.Addr: true}
+	var addrs []string
+	for _, m := range ms.All() {
+		addrs = append(addrs, m.Addr)
+	}
+	for _, s := range l.seeds() {
+		addrs = append(addrs, l.set.InternalAddr(s))
+	}
+	l.mu.RLock()
+	for _, n := range l.pointed {
+		addrs = append(addrs, n.Addr)
+	}
+	l.mu.RUnlock()
+	self := l.self
+	for _, a := range addrs {
+		if asked[a] {
+			continue
 		}
-		time.Sleep(l.timing.Tick)
+		asked[a] = true
+		go func() {
+			// Refused or unheard, it is asked again at the next duty.
+			_, _, _ = l.links.ask(a, &dowel.Ask{Join: &self}, l.timing.Election)
+		}()
 	}
 }
 
@@ -176,3 +406,53 @@
 		return errNotLeader
 	}
 }
+
+// Resign hands leadership on, if this node has it, and has its vote taken over where
+// another node can; it returns once the group has let this node go, or after wait.
+func (l *Lathe) Resign(wait time.Duration) {
+	l.closing.Store(true)
+	var handed time.Time
+	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(l.timing.Heartbeat) {
+		l.mu.RLock()
+		v := l.view
+		l.mu.RUnlock()
+		switch {
+		case v.role == clamp.Leader:
+			if len(v.members.Voters) == 1 {
+				return
+			}
+			if time.Since(handed) > 2*l.timing.Election {
+				handed = time.Now()
+				l.post(func() { l.node.Transfer() })
+			}
+		case v.leaderAt != "":
+			if a, _, err := l.links.ask(v.leaderAt, &dowel.Ask{Leave: l.self.ID}, l.timing.Election); err == nil && !a.Failed {
+				return
+			}
+		}
+	}
+}
+
+// letGo takes a member's wish to leave; only the leader can. An error tells that it is
+// to stay for now.
+func (l *Lathe) letGo(id uint64) error {
+	got := make(chan error, 1)
+	l.post(func() {
+		now := l.now()
+		switch {
+		case l.node.Role() != clamp.Leader:
+			got <- errNotLeader
+		case l.roster.leave(l.node, now, id):
+			got <- nil
+		default:
+			got <- notch.New(notch.Unavailable, "the group still counts on this member")
+		}
+		l.tendNow = true
+	})
+	select {
+	case err := <-got:
+		return err
+	case <-l.ctx.Done():
+		return errNotLeader
+	}
+}
--- /dev/null
+++ b/internal/lathe/members_test.go
@@ -0,0 +1,454 @@
+package lathe
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand"
+	"os"
+	"testing"
+	"time"
+
+	"lichentray/clamp"
+	"lichentray/internal/caliper"
+	"lichentray/trestle"
+)
+
+// TestMembershipSteps compares the steps, taken to their end while nothing else
+// changes, with a slow plain model that tries every set of voters.
+func TestMembershipSteps(t *testing.T) {
+	for seed := range int64(20000) {
+		r := rand.New(rand.NewSource(seed))
+		tol := tolerance{machines: 1 + r.Intn(2), places: r.Intn(2)}
+		of := map[uint64]standing{}
+		var ms clamp.Membership
+		for id := uint64(1); id <= uint64(1+r.Intn(9)); id++ {
+			s := standing{alive: true, caughtUp: true, match: uint64(r.Intn(9)), place: fmt.Sprint(r.Intn(3))}
+			switch r.Intn(6) {
+			case 0:
+				s.alive, s.unheard = false, r.Intn(2) == 0
+			case 1:
+				s.leaving = true
+			case 2:
+				s.caughtUp = false
+			case 3:
+				s.replaced = r.Intn(3) == 0
+			}
+			m := clamp.Member{ID: id, Uncounted: r.Intn(6) == 0}
+			if id == 1 {
+				s = standing{alive: true, caughtUp: true, place: "0"}
+			}
+			if id == 1 || r.Intn(2) == 0 {
+				ms.Voters = append(ms.Voters, m)
+			} else {
+				ms.Learners = append(ms.Learners, m)
+			}
+			of[id] = s
+		}
+		get := func(m clamp.Member) standing { return of[m.ID] }
+		acks := func(ms clamp.Membership) (serving, alive int) {
+			for _, m := range ms.Voters {
+				if s := of[m.ID]; s.serves() {
+					serving++
+					alive++
+				} else if s.alive && !s.replaced {
+					alive++
+				}
+			}
+			return serving, alive
+		}
+		if _, alive := acks(ms); alive <= len(ms.Voters)/2 {
+			continue // nobody leads such a group
+		}
+		start := ms
+		for step := 0; ; step++ {
+			next, why := nextMembership(ms, 1, tol, get)
+			if why == "" {
+				break
+			}
+			moved := 0
+			for _, m := range append(ms.All(), next.All()...) {
+				if ms.Voter(m.ID) != next.Voter(m.ID) {
+					moved++
+					if m.Uncounted && next.Voter(m.ID) && len(ms.Voters) >= tol.least() {
+						t.Fatalf("seed %d: an uncounted node votes without need", seed)
+					}
+				}
+			}
+			if _, alive := acks(next); alive <= len(next.Voters)/2 || !next.Voter(1) || moved > 2 || step > 30 {
+				t.Fatalf("seed %d: %s: from %+v to %+v", seed, why, ms, next)
+			}
+			ms = next
+		}
+		// The model: any odd set that a leader could choose from those that serve.
+		best := -1
+		var ids []uint64
+		for _, m := range start.All() {
+			if s := of[m.ID]; s.serves() && (start.Voter(m.ID) || (s.caughtUp && !m.Uncounted)) {
+				ids = append(ids, m.ID)
+			}
+		}
+		for set := 1; set < 1<<len(ids); set++ {
+			in, n := map[string]int{}, 0
+			for i, id := range ids {
+				if set>>i&1 == 1 {
+					in[of[id].place]++
+					n++
+				}
+			}
+			ok := n%2 == 1 && n >= tol.least()
+			for _, k := range in {
+				ok = ok && k <= tol.share(n)
+			}
+			if ok {
+				best = max(best, n/2)
+			}
+		}
+		serving, _ := acks(ms)
+		if margin := serving - (len(ms.Voters)/2 + 1); best >= 0 && margin < min(best, tol.machines) {
+			t.Fatalf("seed %d: the voters bear %d further losses, %d could be borne\nfrom %+v\nto %+v\n%+v", seed, margin, best, start, ms, of)
+		}
+	}
+}
+
+// set is a state machine that remembers which commands it has applied.
+type set map[uint64]bool
+
+func (s set) Apply(_ uint64, data []byte) any { s[binary.BigEndian.Uint64(data)] = true; return nil }
+func (s set) Snapshot() []byte {
+	var out []byte
+	for k := range s {
+		out = binary.BigEndian.AppendUint64(out, k)
+	}
+	return out
+}
+func (s set) Restore(data []byte) {
+	clear(s)
+	for ; len(data) > 0; data = data[8:] {
+		s[binary.BigEndian.Uint64(data)] = true
+	}
+}
+
+// core is a simulated core whose leaders tend their members as a node does.
+type core struct {
+	*trestle.Cluster
+	t      *testing.T
+	seed   int64
+	roster map[uint64]*roster
+	api    map[uint64]string // addresses of the lives that run
+	lastID uint64
+	tendAt time.Duration
+	asked  uint64
+	acked  []uint64
+}
+
+const (
+	simElection = 150 * time.Millisecond
+	simDead     = 5 * simElection
+	simCatchUp  = 13 * simElection // as catch_up_s is to contact_s
+)
+
+func newCore(t *testing.T, seed int64, n int) *core {
+	c := &core{Cluster: trestle.New(seed, 3, func() trestle.Machine { return set{} }), t: t, seed: seed, roster: map[uint64]*roster{}, api: map[uint64]string{}}
+	for id := uint64(1); id <= uint64(n); id++ {
+		if id > 3 {
+			c.Add(id)
+		}
+		c.api[id] = fmt.Sprint("node-", id)
+	}
+	c.lastID = uint64(n)
+	c.pass(simCatchUp)
+	return c
+}
+
+// join starts a life with an empty disk.
+func (c *core) join(addr string) uint64 {
+	c.lastID++
+	c.Add(c.lastID)
+	c.api[c.lastID] = addr
+	return c.lastID
+}
+
+// pass lets time pass under load; a node that is no member asks to be one.
+func (c *core) pass(span time.Duration) {
+	for end := c.Now + span; c.Now < end; {
+		c.Run(c.Step)
+		lead := c.Leader()
+		if lead == nil {
+			continue
+		}
+		if c.Rand.Intn(8) == 0 {
+			c.propose(lead.ID, nil)
+		}
+		if c.Now-c.tendAt < 80*time.Millisecond {
+			continue
+		}
+		c.tendAt = c.Now
+		n := lead.Raft
+		if next, why := c.of(n).next(n, c.Now); why != "" {
+			_ = n.ProposeMembers(next)
+			continue
+		}
+		for _, id := range c.IDs() {
+			if c.Up(id) && !n.Members().Has(id) {
+				_ = n.ProposeMembers(n.Members().WithLearner(clamp.Member{ID: id, Addr: c.api[id]}))
+				break
+			}
+		}
+	}
+}
+
+func (c *core) of(n *clamp.Node) *roster {
+	if c.roster[n.ID()] == nil {
+		c.roster[n.ID()] = &roster{tol: tolerance{machines: 1}, dead: simDead, recent: simElection, leaves: simDead / 2, forget: 4 * simCatchUp, place: func(clamp.Member) string { return "" }}
+	}
+	return c.roster[n.ID()]
+}
+
+func (c *core) propose(id uint64, done func()) {
+	c.asked++
+	x := c.asked
+	c.Propose(id, binary.BigEndian.AppendUint64(nil, x), func(_ any, ok bool) {
+		if ok {
+			c.acked = append(c.acked, x)
+			if done != nil {
+				done()
+			}
+		}
+	})
+}
+
+// serves waits until a change is acknowledged again.
+func (c *core) serves(within time.Duration, after string) {
+	c.t.Helper()
+	ok := false
+	for end := c.Now + within; !ok; {
+		if lead := c.Leader(); lead != nil {
+			c.propose(lead.ID, func() { ok = true })
+		}
+		c.pass(20 * time.Millisecond)
+		if c.Now > end {
+			for _, id := range c.IDs() {
+				n := c.Nodes[id].Raft
+				c.t.Logf("%d up %v, %v of term %d for %d, last %d, %+v", id, c.Up(id), n.Role(), n.Term(), n.Leader(), n.Last(), n.Members())
+			}
+			c.t.Fatalf("seed %d: after %s nothing is acknowledged within %v", c.seed, after, within)
+		}
+	}
+}
+
+// leave is a process that is told to end: it asks until it is let go, and ends then,
+// or after some time.
+func (c *core) leave(id uint64) (letGo bool) {
+	for end := c.Now + 2*simCatchUp; c.Now < end && !letGo; {
+		if lead := c.Leader(); lead != nil && lead.ID == id {
+			lead.Raft.Transfer()
+		} else if lead != nil {
+			letGo = c.of(lead.Raft).leave(lead.Raft, c.Now, id)
+		}
+		c.pass(20 * time.Millisecond)
+	}
+	c.Crash(id)
+	return letGo
+}
+
+func (c *core) any(but uint64) uint64 {
+	if lead := c.Leader(); lead != nil && lead.ID != but && c.Rand.Intn(2) == 0 {
+		return lead.ID
+	}
+	for {
+		ids := c.IDs()
+		if id := ids[c.Rand.Intn(len(ids))]; id != but && c.Up(id) {
+			return id
+		}
+	}
+}
+
+// TestSecondLoss: over many seeds a machine of a core is lost, comes back as it was,
+// with an empty disk or as another machine, and the next one is lost as soon as the
+// tolerance allows; each time changes are soon acknowledged again, and none that was
+// acknowledged is forgotten.
+func TestSecondLoss(t *testing.T) {
+	for seed := range int64(16) {
+		c := newCore(t, seed, 3+int(seed%4))
+		for range 5 {
+			id := c.any(0)
+			kind := c.Rand.Intn(6)
+			what := fmt.Sprintf("loss of kind %d of %d", kind, id)
+			down := time.Duration(c.Rand.Int63n(int64(3 * simDead)))
+			hanging := false
+			switch kind {
+			case 0, 1, 2: // crash; the disk stays, or is lost, or another machine comes
+				c.Crash(id)
+			case 3:
+				c.Freeze(id, true)
+			case 4:
+				c.HangDisk(id, down)
+				hanging = true
+			case 5:
+				c.leave(id)
+			}
+			if !hanging { // a leader whose disk hangs has to find that out
+				c.serves(10*simElection, what)
+			}
+			c.pass(down)
+			switch kind {
+			case 0, 5:
+				c.Restart(id)
+			case 1, 2:
+				addr := c.api[id]
+				c.Remove(id)
+				if kind == 2 {
+					addr = fmt.Sprint("node-", c.lastID+1)
+				}
+				c.join(addr)
+			case 3:
+				c.Freeze(id, false)
+			}
+			c.pass(simCatchUp)
+		}
+		c.serves(simElection, "the last repair")
+		c.pass(simDead)
+		for _, x := range c.acked {
+			if !c.Leader().Machine.(set)[x] {
+				t.Fatalf("seed %d: %d was acknowledged and is forgotten", seed, x)
+			}
+		}
+		if c.Broken != "" {
+			t.Fatalf("seed %d: %s", seed, c.Broken)
+		}
+	}
+}
+
+// TestLossRightAfterALeave: of a core with a machine to spare one is told to end and,
+// as soon as its process has ended, another one is lost. With its disk it returns into
+// full strength; without a spare machine it is let go all the same.
+func TestLossRightAfterALeave(t *testing.T) {
+	for seed := range int64(24) {
+		n := 3 + int(seed%4)
+		c := newCore(t, seed, n)
+		id := c.any(0)
+		commit := c.Leader().Raft.Commit()
+		if !c.leave(id) {
+			t.Fatalf("seed %d: one of %d is not let go", seed, n)
+		}
+		for _, m := range c.Leader().Raft.Members().Voters {
+			if m.ID != id && c.Nodes[m.ID].Raft.Stable() < commit {
+				t.Fatalf("seed %d: %d has left, and %d lacks what was committed", seed, id, m.ID)
+			}
+		}
+		if n > 3 {
+			c.Crash(c.any(id))
+			c.serves(10*simElection, "a leave and a loss")
+		}
+		for _, id := range c.IDs() {
+			c.Restart(id)
+		}
+		c.pass(2 * simCatchUp)
+		if ms := c.Leader().Raft.Members(); len(ms.Voters) != n-1+n%2 || len(ms.Learners) != 1-n%2 {
+			t.Fatalf("seed %d: %d voters and %d learners of %d", seed, len(ms.Voters), len(ms.Learners), n)
+		}
+	}
+}
+
+// TestHangingDisk: a voter whose disk hangs is heard and of no use, so the one that
+// stands by votes in its stead before a further one is lost; and one that stands by
+// with a hanging disk, a few entries behind, gets no vote.
+func TestHangingDisk(t *testing.T) {
+	for seed := range int64(16) {
+		c := newCore(t, seed, 4)
+		ms := c.Leader().Raft.Members()
+		spare, hangs := ms.Learners[0].ID, ms.Voters[0].ID
+		if seed%2 == 1 {
+			hangs = spare
+		}
+		c.HangDisk(hangs, time.Hour)
+		c.pass(2 * simDead)
+		for _, m := range ms.Voters {
+			if m.ID != hangs {
+				c.Crash(m.ID)
+				break
+			}
+		}
+		c.serves(10*simElection, "a hanging disk and a loss")
+		c.pass(2 * simDead)
+		c.serves(simElection, "the repair")
+	}
+}
+
+// TestLifeAfterAnElection: a leader that has just been elected has heard of both lives
+// of an address alike, and does not take the new one for the old.
+func TestLifeAfterAnElection(t *testing.T) {
+	c := newCore(t, 1, 3)
+	c.Crash(1)
+	c.serves(10*simElection, "the loss")
+	life := c.join("node-1")
+	for end := c.Now + simElection; c.Now < end && !c.Leader().Raft.Members().Has(life); {
+		c.pass(c.Step)
+	}
+	old := c.Leader()
+	for _, id := range c.IDs() {
+		c.Cut(life, id, true)
+	}
+	old.Raft.Transfer()
+	c.Run(simElection)
+	if c.Leader() == nil || c.Leader() == old {
+		t.Fatal("leadership was not handed on")
+	}
+	c.pass(3 * simElection)
+	if !c.Leader().Raft.Members().Has(life) {
+		t.Error("the new life was given up for the old one")
+	}
+	c.Heal()
+	c.pass(simDead)
+	if ms := c.Leader().Raft.Members(); ms.Has(1) || !ms.Voter(life) {
+		t.Errorf("the new life does not take the old one's place: %+v", ms)
+	}
+}
+
+// TestLeaveAndReturn drives the same through real nodes: one of four is told to end,
+// a second one is lost at once; the first is away until it is no member any more, and
+// its disk, by which it still votes, finds back in.
+func TestLeaveAndReturn(t *testing.T) {
+	g := newGroup(t, 4, func(s *caliper.Settings) {
+		s.Bounds.Contact, s.Bounds.Recovery, s.Bounds.CatchUp = 3, 1, 1
+	})
+	voters := func(without string) (n, members int) {
+		x := g.leader()
+		if x == nil {
+			return 0, 0
+		}
+		for _, m := range x.Status().Members {
+			if m.Voter && m.ID != without {
+				n++
+			}
+			if m.ID != without {
+				members++
+			}
+		}
+		return n, members
+	}
+	until(t, "three vote and one stands by", func() bool { n, all := voters(""); return n == 3 && all == 4 })
+	first := 0
+	for i, l := range g.nodes {
+		if s := l.Status(); s.Role != clamp.Leader.String() && l.node != nil && i < 3 {
+			first = i
+		}
+	}
+	id := hexID(g.nodes[first].self.ID)
+	g.nodes[first].Resign(30 * time.Second)
+	if n, _ := voters(id); n != 3 {
+		t.Errorf("%d voters beside the one that leaves", n)
+	}
+	g.nodes[first].Close()
+	lost := (first + 1) % 3
+	g.nodes[lost].Close()
+	until(t, "a change is taken", func() bool { return g.nodes[3].Replace([]byte(fmt.Sprintf(text, 5))) == nil })
+	if err := os.RemoveAll(g.disk(lost)); err != nil {
+		t.Fatal(err)
+	}
+	g.start(lost, false)
+	until(t, "whoever left is no member any more", func() bool { n, all := voters(""); return n == 3 && all == 3 })
+	g.start(first, false)
+	until(t, "it is a member again", func() bool { _, all := voters(""); return all == 4 })
+	until(t, "and follows", func() bool { return g.nodes[first].ReadPoint() == nil })
+}
