--- a/internal/lathe/members_test.go
+++ b/internal/lathe/members_test.go
@@ -110,6 +110,42 @@
 	}
 }
 
+// TestWhatALeaveWaitsFor: a leaver goes once every voter that serves holds what was
+// committed, and a spare that can still catch up has its vote.
+func TestWhatALeaveWaitsFor(t *testing.T) {
+	m := func(id uint64) clamp.Member { return clamp.Member{ID: id} }
+	three := clamp.Membership{Voters: []clamp.Member{m(1), m(2), m(3)}}
+	five := clamp.Membership{Voters: append([]clamp.Member{m(4), m(5)}, three.Voters...)}
+	for _, c := range []struct {
+		name string
+		ms   clamp.Membership
+		edit func(of map[uint64]standing)
+		want bool
+	}{
+		{"three, nobody to spare", three, nil, true},
+		{"a voter lacks the last entry", three, func(of map[uint64]standing) { of[2] = standing{alive: true, caughtUp: true, match: 9} }, false},
+		{"a voter is dead", three, func(of map[uint64]standing) { of[2] = standing{} }, false},
+		{"two leave at once", three, func(of map[uint64]standing) { of[2] = standing{alive: true, leaving: true, match: 10} }, false},
+		{"a spare that will vote", three.WithLearner(m(4)), nil, false},
+		{"a spare that still catches up", three.WithLearner(m(4)), func(of map[uint64]standing) { of[4] = standing{alive: true} }, false},
+		{"a spare that is dead", three.WithLearner(m(4)), func(of map[uint64]standing) { of[4] = standing{} }, true},
+		{"five", five, nil, true},
+		{"five, one dead", five, func(of map[uint64]standing) { of[2] = standing{} }, false},
+		{"it follows only", five.WithLearner(m(3)), nil, true},
+	} {
+		of := map[uint64]standing{}
+		for id := uint64(1); id <= 5; id++ {
+			of[id] = standing{alive: true, caughtUp: true, match: 10, leaving: id == 3}
+		}
+		if c.edit != nil {
+			c.edit(of)
+		}
+		if got := mayLeave(c.ms, 1, 3, tolerance{machines: 1}, 10, func(m clamp.Member) standing { return of[m.ID] }); got != c.want {
+			t.Errorf("%s: let go %v", c.name, got)
+		}
+	}
+}
+
 // set is a state machine that remembers which commands it has applied.
 type set map[uint64]bool
 
