--- a/internal/lathe/members_test.go
+++ b/internal/lathe/members_test.go
@@ -362,7 +362,7 @@
 		n := 3 + int(seed%4)
 		c := newCore(t, seed, n)
 		id := c.any(0)
-		commit := c.Leader().Raft.Commit()
+		commit, changed := c.Leader().Raft.Commit(), c.Leader().Raft.MembersIndex()
 		if !c.leave(id) {
 			t.Fatalf("seed %d: one of %d is not let go", seed, n)
 		}
@@ -371,6 +371,9 @@
 				t.Fatalf("seed %d: %d has left, and %d lacks what was committed", seed, id, m.ID)
 			}
 		}
+		if now := c.Leader().Raft.MembersIndex(); n%2 == 1 && now != changed {
+			t.Fatalf("seed %d: a leave of one of %d changes the membership", seed, n)
+		}
 		if n > 3 {
 			c.Crash(c.any(id))
 			c.serves(10*simElection, "a leave and a loss")
