Merge: members that leave are replaced by agreement, five vote where five can

With it: the actor publishes what a tick changed before its duties run (a sole voter leads from a tick on, and the judge of endpoints was not there yet: a panic seen once in a test), and a lock's timer takes the time that the state holds.

--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -103,6 +103,9 @@
 	turned    chan struct{} // closed, and made anew, when role or leader changes
 	logBytes  int
 	checkedAt time.Duration
+	roster    *roster // of members, at the leader
+	tendedAt  time.Duration
+	tendNow   bool // the membership, without waiting for the next duty
 	trimAt    time.Duration
 	marks     []mark
 	membersAt uint64 // log index of the membership that the links follow
@@ -268,7 +271,8 @@
 			return nil, fmt.Errorf("bootstrap: %w", err)
 		}
 	}
-	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control}
+	l.self = clamp.Member{ID: id.ID, Addr: addr, API: set.Listen.Control, Uncounted: !set.QuorumMember}
+	l.roster = newRoster(set, l.timing, l.placeOf)
 	l.cache.Reset(l.store.Revision())
 	l.noteAll()
 	l.index = saved.Snapshot.Index
@@ -326,6 +330,7 @@
 			}
 		case <-tick.C:
 			l.node.Tick(l.now())
+			l.publish() // whoever stands alone leads from the tick on
 			l.duties()
 		}
 		l.flush()
@@ -434,6 +439,7 @@
 			l.mu.Unlock()
 		}
 	} else if en.Type == clamp.Change {
+		l.tendNow = true // a replacement takes two
 		l.log.Info("membership changed", "index", en.Index, "voters", len(l.node.Members().Voters), "learners", len(l.node.Members().Learners))
 	}
 	l.logBytes += len(en.Data)
@@ -468,8 +474,9 @@
 func (l *Lathe) timeLock(now time.Duration, c *latch.Command, r latch.Result) {
 	switch c.Op {
 	case latch.Begin, latch.Renew:
-		if r.Code == latch.OK {
-			l.locks[c.Name] = lockTimer{r.Grant, now + time.Duration(c.HoldMS)*time.Millisecond}
+		// The state's time, not the command's: a renewal that comes late may ask for less.
+		if k := l.store.Latches().Locks[c.Name]; r.Code == latch.OK {
+			l.locks[c.Name] = lockTimer{k.Grant, now + time.Duration(k.HoldMS)*time.Millisecond}
 		}
 	case latch.Finish:
 		if _, held := l.store.Latches().Locks[c.Name]; !held {
@@ -547,23 +554,6 @@
 	<-l.portDone
 }
 
-// Resign hands leadership on, if this node has it, and waits a little for the
-// new leader.
-func (l *Lathe) Resign(wait time.Duration) {
-	l.closing.Store(true)
-	end := time.Now().Add(wait)
-	l.post(func() { l.node.Transfer() })
-	for time.Now().Before(end) {
-		l.mu.RLock()
-		v := l.view
-		l.mu.RUnlock()
-		if v.role != clamp.Leader && v.leader != 0 {
-			return
-		}
-		time.Sleep(l.timing.Tick)
-	}
-}
-
 type diskJob struct {
 	hard    *clamp.HardState
 	install *clamp.Snapshot
