--- a/trestle/trestle.go
+++ b/trestle/trestle.go
@@ -52,7 +52,7 @@
 	diskUntil  time.Duration
 	jobs       []job
 	waiting    map[uint64]call
-	reads      map[uint64]func(ok bool)
+	reads      map[uint64]func(index uint64, ok bool)
 }
 
 type call struct {
@@ -114,7 +114,7 @@
 	saved := n.Disk
 	saved.Entries = append([]clamp.Entry(nil), saved.Entries...)
 	n.Raft = clamp.New(clamp.Config{ID: n.ID, Heartbeat: 20 * time.Millisecond, Election: 150 * time.Millisecond, Rand: c.Rand.Int63n}, c.Now, saved)
-	n.jobs, n.waiting, n.reads, n.up, n.frozen, n.diskUntil = nil, map[uint64]call{}, map[uint64]func(bool){}, true, false, 0
+	n.jobs, n.waiting, n.reads, n.up, n.frozen, n.diskUntil = nil, map[uint64]call{}, map[uint64]func(uint64, bool){}, true, false, 0
 }
 
 // Crash stops a node; what its disk had not synced is lost.
@@ -125,7 +125,7 @@
 		w.done(nil, false)
 	}
 	for _, r := range n.reads {
-		r(false)
+		r(0, false)
 	}
 	n.waiting, n.reads = nil, nil
 }
@@ -149,6 +149,9 @@
 // Freeze makes a node stand still, or go on.
 func (c *Cluster) Freeze(id uint64, on bool) { c.Nodes[id].frozen = on }
 
+// Frozen tells whether a node stands still.
+func (c *Cluster) Frozen(id uint64) bool { n := c.Nodes[id]; return n != nil && n.frozen }
+
 // HangDisk makes a node's disk hang for a time.
 func (c *Cluster) HangDisk(id uint64, span time.Duration) { c.Nodes[id].diskUntil = c.Now + span }
 
@@ -161,6 +164,9 @@
 	}
 }
 
+// Parted tells whether the way from one node to another is cut.
+func (c *Cluster) Parted(from, to uint64) bool { return c.cut[[2]uint64{from, to}] }
+
 // Heal joins all ways and thaws all nodes.
 func (c *Cluster) Heal() {
 	c.cut = map[[2]uint64]bool{}
@@ -208,9 +214,14 @@
 // Read asks a node for a confirmed read point; done runs when its machine has
 // reached it.
 func (c *Cluster) Read(id uint64, done func(ok bool)) {
+	c.ReadIndex(id, func(_ uint64, ok bool) { done(ok) })
+}
+
+// ReadIndex does so and tells the read point, for another node to wait for.
+func (c *Cluster) ReadIndex(id uint64, done func(index uint64, ok bool)) {
 	n := c.Nodes[id]
 	if !n.up || n.frozen {
-		done(false)
+		done(0, false)
 		return
 	}
 	c.readSeq++
@@ -248,7 +259,7 @@
 			continue
 		}
 		n := c.Nodes[l.m.To]
-		if n == nil || !n.up || c.cut[[2]uint64{l.m.From, l.m.To}] {
+		if n == nil || !n.up || c.Parted(l.m.From, l.m.To) {
 			continue
 		}
 		if n.frozen { // it waits in the socket
@@ -310,7 +321,7 @@
 		for _, r := range e.Reads {
 			if done := n.reads[r.Context]; done != nil {
 				delete(n.reads, r.Context)
-				done(r.OK)
+				done(r.Index, r.OK)
 			}
 		}
 		if n.Raft.LogSize() > c.compact && len(n.jobs) == 0 {
