clamp: a sole voter is not heard before its vote is durable

Cause: a voter that is alone wins its election by its own vote, at once, and its appends and heartbeats went out before the write with that vote was synced. After a crash it led in the same term again, with another log: a learner then held another entry at the same index and term, and acknowledged it as equal.

Change: while the entry that opens its term is not durable, what a sole voter says as leader goes with the write instead of at once. Groups of two voters or more are not touched: their votes are asked for after the sync.

Measured: TestSoleVoterWaits red without, green with it; go test ./clamp passes.

--- a/clamp/clamp_test.go
+++ b/clamp/clamp_test.go
@@ -315,3 +315,21 @@
 		t.Error("a message to another life was taken")
 	}
 }
+
+// TestSoleVoterWaits: a sole voter leads at once, but says nothing as the leader
+// of a term that a crash could make it lead again, with another log.
+func TestSoleVoterWaits(t *testing.T) {
+	n := clamp.New(clamp.Config{ID: 1, Heartbeat: time.Millisecond, Election: time.Second, Rand: func(int64) int64 { return 0 }}, 0,
+		clamp.Saved{Snapshot: clamp.Snapshot{Members: clamp.Membership{Voters: []clamp.Member{{ID: 1}}, Learners: []clamp.Member{{ID: 2}}}}})
+	n.Campaign()
+	first := n.Ready()
+	n.Propose([]byte("x"))
+	second := n.Ready()
+	if len(first.Send)+len(second.Send) > 0 {
+		t.Errorf("sent before the vote is durable: %+v %+v", first.Send, second.Send)
+	}
+	last := first.Write.Entries[len(first.Write.Entries)-1]
+	if n.Persisted(last.Index, last.Term); len(first.Write.After) == 0 || n.Commit() != last.Index {
+		t.Errorf("nothing is said after the write, or committed up to %d of %d", n.Commit(), last.Index)
+	}
+}
--- a/clamp/node.go
+++ b/clamp/node.go
@@ -140,6 +140,12 @@
 }
 
 func (n *Node) out(m Message) {
+	// A sole voter elects itself before its vote is durable: what it says as the
+	// leader waits for that, or its next life leads in the same term again.
+	if n.role == Leader && n.stable < n.termStart && len(n.Members().Voters) == 1 {
+		n.outAfter(m)
+		return
+	}
 	m.From = n.cfg.ID
 	if m.Term == 0 {
 		m.Term = n.hard.Term
