--- /dev/null
+++ b/trestle/explore_test.go
@@ -0,0 +1,61 @@
+package trestle_test
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	. "lichentray/trestle"
+)
+
+var deeper = flag.Int("explore.depth", 0, "steps to explore beyond the depth of each exploration")
+
+// then makes a start out of lines, a list of them in each text.
+func then(parts ...string) []string {
+	var out []string
+	for _, p := range parts {
+		for _, line := range strings.Split(p, ",") {
+			out = append(out, strings.TrimSpace(line))
+		}
+	}
+	return out
+}
+
+const (
+	led     = "tick 1, settle, tick 1, settle"                         // 1 leads, all hold the same
+	deposed = "forget, tick 2, tick 3, settle 2 3, tick 2, settle 2 3" // 2 leads, 1 does not know
+)
+
+var explorations = []struct {
+	name string
+	Exploration
+}{
+	{"election", Exploration{Voters: 3, Depth: 8, Budget: Budget{Tick: 3, Crash: 1, Duplicate: 1}}},
+	{"rivals", Exploration{Voters: 3, Start: then("tick 1, tick 2, settle 1 3, tick 3"), Depth: 5, Budget: Budget{Tick: 2, Crash: 1, Propose: 1}}},
+	{"tail", Exploration{Voters: 3, Start: then(led, "propose 1, sync 1, propose 1, forget, tick 2, tick 3"), Depth: 6, Budget: Budget{Tick: 2, Crash: 1, Propose: 1}}},
+	{"deposed", Exploration{Voters: 3, Start: then(led, "propose 1, sync 1", deposed), Depth: 5, Budget: Budget{Tick: 1, Crash: 1, Propose: 1, ReadIndex: 2}}},
+	{"members", Exploration{Voters: 3, Learners: 1, Start: then(led, "voter 1 4"), Depth: 6, Budget: Budget{Tick: 2, Crash: 1, MemberStep: 2}}},
+	{"snapshot", Exploration{Voters: 3, Learners: 1, Start: then(led, "voter 1 4, settle 1 2 4, propose 1, settle 1 2 4, compact 1, sync 1, forget, tick 1"), Depth: 5, Budget: Budget{Tick: 2, Crash: 1, Compact: 1, Propose: 1}}},
+	{"lost disk", Exploration{Voters: 3, Start: then(led, "propose 1, settle 1 2, lose 3, learner 1 4"), Depth: 7, Budget: Budget{Tick: 2, Crash: 1, MemberStep: 2, LoseDisk: 1}}},
+	{"transfer", Exploration{Voters: 3, Start: then(led), Depth: 7, Budget: Budget{Tick: 1, Crash: 1, Propose: 1, Transfer: 1, ReadIndex: 1}}},
+	{"alone", Exploration{Voters: 1, Learners: 1, Depth: 9, Budget: Budget{Tick: 3, Crash: 2, Propose: 2, MemberStep: 1, ReadIndex: 1}}},
+}
+
+// TestExplore looks at everything that can happen to the core within bounds.
+func TestExplore(t *testing.T) {
+	for _, x := range explorations {
+		t.Run(x.name, func(t *testing.T) {
+			x.Depth += *deeper
+			begin := time.Now()
+			got, err := x.Run()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("depth %d, %d states, %d transitions, %v", got.Depth, got.States, got.Transitions, time.Since(begin).Round(10*time.Millisecond))
+			if got.Violation != "" {
+				t.Errorf("%s\n\t%s", got.Violation, strings.Join(got.Trace, "\n\t"))
+			}
+		})
+	}
+}
