--- a/clamp/snapshot.go
+++ b/clamp/snapshot.go
@@ -32,6 +32,9 @@
 		n.memberships = n.memberships[1:]
 	}
 	members = n.memberships[0].members
+	if len(members.All()) == 0 {
+		return Snapshot{}, false // one that joins, before the entry that names it
+	}
 	n.memberships[0].index = index
 	n.entries = append([]Entry(nil), n.entries[index-n.snap.Index:]...)
 	n.snap = Snapshot{Index: index, Term: t, Members: members, Data: data}
