--- a/clamp/snapshot.go
+++ b/clamp/snapshot.go
@@ -125,6 +125,9 @@
 		n.memberships = n.memberships[1:]
 	}
 	members = n.memberships[0].members
+	if len(members.All()) == 0 {
+		return Snapshot{}, false // one that joins, before the entry that names it
+	}
 	n.memberships[0].index = index
 	k := index - n.snap.Index
 	old := append(n.tail[:len(n.tail):len(n.tail)], n.entries[:k]...)
