plane: one table decides what follows from a hop

What may be done after a try at an endpoint was spread over forward and exchange. Now a hop ends in one of twelve phases, and phase.next says from it and the state of the request whether it goes elsewhere, what the client gets and whether it may have run; the connection is settled in one place by the same table.

Changed on the way: a request without X-Attempt-Id never takes a kept connection, as nothing would tell its answer from one in excess; every X-Attempt-Id of an answer must match, not the first; an answer that came before the request was wholly sent is read and its connection closed (it was lost as 502, X-Not-Executed among them); a connection given back untouched keeps its rest; a client that breaks its upload off is not held against the endpoint; answers with a bare CR, a signed Content-Length or a space before the colon are no answers.

--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -50,7 +50,7 @@
 	// What is known of the tries so far.
 	arrived bool // an endpoint may have got it
 	ran     bool // an endpoint may have run it
-	fed     bool // feed was touched
+	fed     bool // feed was touched: the body cannot be sent twice
 	tried   []*balance.Endpoint
 }
 
@@ -308,40 +308,64 @@
 	return head
 }
 
-// outcome is how one try at one endpoint ended.
+// outcome is how one hop ended.
 type outcome struct {
-	answer *answer
-	u      *upstream
-	err    error
-	sent   bool // bytes of the request may have left
+	at     phase
+	err    error     // what ended it there, if not a whole answer
+	answer *answer   // if one was read
+	u      *upstream // the connection, while streaming
 	// stale tells that the connection had rested and ended without a byte of an
 	// answer: the endpoint had forgotten it.
 	stale  bool
 	rested time.Duration
 }
 
-// exchange sends the request to one endpoint and reads its answer.
+// exchange sends the request to one endpoint and reads its answer, and settles what
+// becomes of the connection.
 func (p *Plane) exchange(q *request, e *balance.Endpoint, sh *shelf) outcome {
 	now := time.Now()
-	u := sh.take(now, q.svc.rest(p.now()))
+	left := q.until.Sub(now)
+	if left <= 0 {
+		return outcome{at: dialling, err: errDeadline}
+	}
+	var u *upstream
+	if len(q.id) > 0 { // without an id only a new connection tells whose an answer is
+		u = sh.take(now, q.svc.rest(p.now()))
+	}
 	if u == nil {
 		var err error
-		if u, err = dialUpstream(e.Address, min(p.timing.Dial, q.until.Sub(now)), p.timing.Dark); err != nil {
+		if u, err = dialUpstream(e.Address, min(p.timing.Dial, left), p.timing.Dark); err != nil {
 			p.n.dialFailed.Inc()
-			return outcome{err: err}
+			return outcome{at: dialling, err: err}
 		}
 		now = time.Now()
+		u.since, u.until = now, now.Add(p.timing.IdleUnsaid)
 	}
-	left := q.until.Sub(now)
-	if left <= 0 {
+	if !now.Before(q.until) {
 		sh.put(u) // untouched
-		return outcome{err: errDeadline}
+		return outcome{at: unsent, err: errDeadline}
+	}
+	o := p.talk(q, e, u, now)
+	o.stale = u.rested > 0 && o.at <= sentWhole && broken(o.err)
+	o.rested = u.rested
+	switch {
+	case o.at == streaming:
+		o.u = u
+	case hops[o.at].reuse && o.answer.rest == nil:
+		p.shelve(sh, u, o.answer)
+	default:
+		u.raw.Close()
 	}
+	return o
+}
+
+// talk is the hop on a connection, up to its end or to a long body.
+func (p *Plane) talk(q *request, e *balance.Endpoint, u *upstream, now time.Time) (o outcome) {
 	buf := heads.Get().(*[]byte)
 	defer heads.Put(buf)
 	b := append((*buf)[:0], q.head...)
 	b = append(b, "X-Deadline: "...)
-	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
+	b = strconv.AppendInt(b, max(1, q.until.Sub(now).Milliseconds()), 10)
 	b = append(b, "\r\nX-Target-Instance: "...)
 	b = append(b, e.ID...)
 	switch {
@@ -363,10 +387,12 @@
 	*buf = b
 	p.pacer.take(now, len(b))
 	if err := u.raw.SetDeadline(q.until); err != nil {
-		u.raw.Close()
-		return outcome{err: err}
+		return outcome{at: unsent, err: err}
 	}
 	n, err := u.raw.Write(b)
+	if n == 0 && err != nil {
+		return outcome{at: unsent, err: err}
+	}
 	if err == nil && long != nil {
 		_, err = io.Copy(onlyWriter{u.raw}, &paced{p.pacer, long, q.until})
 	}
@@ -374,34 +400,68 @@
 		q.fed = true
 		err = sendFeed(u, q)
 	}
+	o.at = sentWhole
 	if err != nil {
-		u.raw.Close()
-		return outcome{err: err, sent: n > 0, stale: u.rested > 0 && broken(err), rested: u.rested}
+		// An endpoint that answers early may close before it has read all; what it said
+		// stands before the end.
+		o.at, o.err = sentPart, err
+		if !broken(err) {
+			return o
+		}
 	}
 	if _, err := u.br.Peek(1); err != nil {
-		u.raw.Close()
-		return outcome{err: err, sent: true, stale: u.rested > 0 && broken(err), rested: u.rested}
+		if o.err == nil {
+			o.err = err
+		}
+		return o
 	}
 	a, err := readAnswer(u.br, q.isHead, wholeBody)
 	if err != nil {
-		u.raw.Close()
-		return outcome{err: err, sent: true}
+		switch o.err = err; {
+		case errors.Is(err, errAnswer):
+			o.at = foreign
+		case a == nil:
+			o.at = headPart
+		default:
+			o.at = bodyPart
+		}
+		return o
 	}
-	// An answer in excess may stand where this one is due; the id tells. On a
-	// connection that has served another request it must be there.
-	if id := a.get("X-Attempt-Id"); len(q.id) > 0 && !bytes.Equal(id, q.id) && (id != nil || u.rested > 0) {
-		u.raw.Close()
-		return outcome{err: fmt.Errorf("%w: of another request", errAnswer), sent: true}
+	if o.at == sentPart {
+		a.reuse = false
 	}
-	if a.status < 300 && a.get("X-Server-Signature") == nil {
-		u.raw.Close()
-		return outcome{err: fmt.Errorf("%w: success without a signature", errAnswer), sent: true}
+	o.answer, o.err = a, nil
+	switch {
+	case !a.belongs(q.id, u.rested > 0):
+		o.at, o.err = foreign, fmt.Errorf("%w: of another request", errAnswer)
+	case a.status < 300 && a.get("X-Server-Signature") == nil:
+		o.at, o.err = foreign, fmt.Errorf("%w: success without a signature", errAnswer)
+	case a.get("X-Not-Executed") != nil || a.status == 421:
+		o.at = turnedAway
+	case a.rest != nil:
+		o.at = streaming
+	case a.status >= 500:
+		o.at = failed
+	default:
+		o.at = answered
 	}
-	if a.rest == nil {
-		p.shelve(sh, u, a)
-		u = nil
+	return o
+}
+
+// belongs tells whether an answer is to the request with an id: one in excess may
+// stand where that is due. On a connection that has served another request the id must
+// be there.
+func (a *answer) belongs(id []byte, served bool) bool {
+	named := false
+	for _, h := range a.headers {
+		if equalFold(h.name, "X-Attempt-Id") {
+			if len(id) > 0 && !bytes.Equal(h.value, id) {
+				return false
+			}
+			named = true
+		}
 	}
-	return outcome{answer: a, u: u, sent: true}
+	return named || !served
 }
 
 // shelve keeps a connection for the next request, if it may be used again.
@@ -414,7 +474,8 @@
 	if a.keep > 0 {
 		idle = a.keep - min(a.keep/2, time.Second)
 	}
-	u.until = time.Now().Add(idle)
+	u.since = time.Now()
+	u.until = u.since.Add(idle)
 	sh.put(u)
 }
 
@@ -426,19 +487,35 @@
 // onlyWriter hides all but Write, so that a copy goes piece by piece.
 type onlyWriter struct{ io.Writer }
 
-var errDeadline = errors.New("plane: deadline reached")
+var (
+	errDeadline = errors.New("plane: deadline reached")
+	// errClient says that the client, not the endpoint, broke the request off.
+	errClient = errors.New("plane: client broke its request off")
+)
+
+// feeder marks the errors of the client's side of a body.
+type feeder struct{ r io.Reader }
 
+func (f feeder) Read(b []byte) (int, error) {
+	n, err := f.r.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = fmt.Errorf("%w: %w", errClient, err)
+	}
+	return n, err
+}
+
+// sendFeed passes on a body as the client sends it.
 func sendFeed(u *upstream, q *request) error {
 	if q.size >= 0 {
-		n, err := io.Copy(u.raw, io.LimitReader(q.feed, int64(q.size)))
+		n, err := io.Copy(onlyWriter{u.raw}, io.LimitReader(feeder{q.feed}, int64(q.size)))
 		if err == nil && n != int64(q.size) {
-			err = io.ErrUnexpectedEOF
+			err = fmt.Errorf("%w: %w", errClient, io.ErrUnexpectedEOF)
 		}
 		return err
 	}
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := q.feed.Read(buf)
+		n, err := feeder{q.feed}.Read(buf)
 		if n > 0 {
 			if _, werr := fmt.Fprintf(u.raw, "%x\r\n%s\r\n", n, buf[:n]); werr != nil {
 				return werr
@@ -473,18 +550,32 @@
 		}
 		return false
 	}
-	var kind = notch.Unavailable
 	why := "no endpoint"
-	dials := 0
-	for sent := 0; sent < q.route.MaxAttempts && dials < 4; {
-		left := time.Until(q.until)
-		if left <= 0 {
-			kind, why = notch.Deadline, "deadline reached"
-			break
+	var d decision
+	sent, dials := 0, 0
+	// after takes that a hop has ended.
+	after := func(at phase) step {
+		q.arrived = q.arrived || at >= sentPart
+		if at == dialling || at == unsent {
+			dials++
+		} else if at != waiting {
+			sent++
+		}
+		d = at.next(state{
+			repeatable: q.route.Repeatable, consumed: q.fed, ran: q.ran, inTime: time.Now().Before(q.until),
+			tries: sent < q.route.MaxAttempts && dials < 4, budget: at != failed || p.mayRepeat(svc),
+		})
+		q.ran = d.ran
+		return d.next
+	}
+	for {
+		var e *balance.Endpoint
+		var sh *shelf
+		if left := time.Until(q.until); left > 0 {
+			e, sh = svc.acquireArm(p, rank, min(q.route.Aim/6, left/4), skip, &arm)
 		}
-		wait := min(q.route.Aim/6, left/4)
-		e, sh := svc.acquireArm(p, rank, wait, skip, &arm)
 		if e == nil {
+			after(waiting)
 			break
 		}
 		to := arm
@@ -497,6 +588,7 @@
 				p.n.budgetOut.Inc()
 				svc.release(p, e, true, 0)
 				watch.end()
+				after(waiting)
 				break
 			}
 			p.n.retries.Inc()
@@ -505,93 +597,59 @@
 		o := p.exchange(q, e, sh)
 		took := time.Since(began)
 		q.tried = append(q.tried, e)
-		q.arrived = q.arrived || o.sent
+		next := after(o.at)
 		if o.err != nil {
-			watch.broke(o, time.Until(q.until) > 0)
-			if errors.Is(o.err, errDeadline) {
-				svc.release(p, e, true, 0)
-				kind, why = notch.Deadline, "deadline reached"
-				break
-			}
+			why = o.err.Error()
+			watch.broke(o, time.Now().Before(q.until))
 			if o.stale {
 				// That the endpoint itself has ended shows at the next connection.
 				p.n.stale.Inc()
 				svc.forgot(p.now(), o.rested, p.timing.EjectMost)
 				sh.drop()
 			}
-			svc.release(p, e, o.stale, 0)
+			svc.release(p, e, o.stale || errors.Is(o.err, errDeadline) || errors.Is(o.err, errClient), 0)
 			if errors.Is(o.err, errAnswer) {
 				p.n.badAnswers.Inc()
 			}
-			kind, why = notch.BadGateway, o.err.Error()
-			arm = svc.elsewhere(arm, o.sent)
-			if !o.sent {
-				dials++
-				continue // never established: not run
-			}
-			sent++
-			q.ran = true
-			if time.Until(q.until) <= 0 {
-				kind = notch.Deadline
-			}
-			if !q.route.Repeatable || q.fed {
-				break
-			}
-			continue
-		}
-		sent++
-		a := o.answer
-		if a.get("X-Not-Executed") != nil || a.status == 421 {
-			// The endpoint's word that it has not run the request.
-			if o.u != nil {
-				o.u.raw.Close()
-			}
-			svc.turnedAway(p, e, a.status)
+			arm = svc.elsewhere(arm, o.at >= sentPart)
+		} else if o.at == turnedAway {
+			why = "endpoints turned the request away"
+			svc.turnedAway(p, e, o.answer.status)
 			watch.end()
 			arm = svc.elsewhere(arm, true)
-			kind, why = notch.Unavailable, "endpoints turned the request away"
-			if q.fed {
-				break
-			}
-			continue
-		}
-		ok := a.status < 500
-		ratio := 0.0
-		watch.answered(took, ok)
-		if ok {
-			ratio = q.stats.learn(took.Seconds(), to == balance.Base)
 		} else {
-			svc.mu.Lock()
-			svc.pool.Bad(e)
-			svc.mu.Unlock()
-		}
-		if a.status >= 500 && q.route.Repeatable && sent < q.route.MaxAttempts && o.u == nil && !q.fed && p.mayRepeat(svc) {
+			ratio := 0.0
+			ok := o.answer.status < 500
+			watch.answered(took, ok)
+			if ok {
+				ratio = q.stats.learn(took.Seconds(), to == balance.Base)
+			} else {
+				svc.mu.Lock()
+				svc.pool.Bad(e)
+				svc.mu.Unlock()
+			}
+			if next == pass {
+				p.pass(q, svc, e, sh, o, ratio)
+				return
+			}
+			why = "endpoint failed"
 			svc.release(p, e, true, 0)
-			q.ran = true
-			kind, why = notch.BadGateway, "endpoint failed"
 			arm = svc.elsewhere(arm, true)
-			continue
 		}
-		p.pass(q, svc, e, sh, o, ratio)
-		return
-	}
-	if q.ran {
-		if kind == notch.Unavailable {
-			kind = notch.BadGateway
+		if next == giveUp {
+			break
 		}
-	} else {
-		kind = notch.Unavailable
 	}
-	q.stats.count(kind)
+	q.stats.count(d.kind)
 	switch {
 	case q.route.Repeatable:
-		p.noteTry(q, tally.Failed, kind.Status())
-	case q.ran || q.arrived && kind != notch.Unavailable:
-		p.noteTry(q, tally.Unsure, kind.Status())
+		p.noteTry(q, tally.Failed, d.kind.Status())
+	case q.ran:
+		p.noteTry(q, tally.Unsure, d.kind.Status())
 	default:
-		p.noteTry(q, tally.NotRun, kind.Status())
+		p.noteTry(q, tally.NotRun, d.kind.Status())
 	}
-	p.refuse(q.ctx, notch.New(kind, "%s", why))
+	p.refuse(q.ctx, notch.New(d.kind, "%s", why))
 }
 
 // mayRepeat tells whether the budget would bear another try now.
@@ -650,11 +708,7 @@
 // pass gives an endpoint's answer to the client.
 func (p *Plane) pass(q *request, svc *service, e *balance.Endpoint, sh *shelf, o outcome, ratio float64) {
 	a := o.answer
-	status := a.status
-	if !q.route.Repeatable && (status == 429 || status == 503 || status == 408) {
-		// These promise that the request has not run; the endpoint did not say so.
-		status = 502
-	}
+	status := passed(a.status, q.route.Repeatable)
 	q.stats.answer[max(0, min(2, status/200-1+status/500))].Inc()
 	resp := &q.ctx.Response
 	resp.SetStatusCode(status)
--- a/internal/plane/trial.go
+++ b/internal/plane/trial.go
@@ -183,7 +183,7 @@
 // endpoint, or met a connection that had been forgotten there, or ran out of time.
 func (w *watch) broke(o outcome, inTime bool) {
 	w.end()
-	if w != nil && o.sent && !o.stale && inTime {
+	if w != nil && o.at >= sentPart && !o.stale && inTime {
 		w.note(feeler.Count{Broken: 1})
 	}
 }
--- a/internal/plane/upstream.go
+++ b/internal/plane/upstream.go
@@ -21,7 +21,7 @@
 	rc     syscall.RawConn
 	br     *bufio.Reader
 	until  time.Time     // idle no longer than this
-	since  time.Time     // idle since
+	since  time.Time     // idle since; of a new one, since it came up
 	rested time.Duration // how long it was idle before its present use; 0: it is new
 }
 
@@ -59,7 +59,6 @@
 		u.raw.Close()
 		return
 	}
-	u.since = time.Now()
 	s.idle = append(s.idle, u)
 }
 
@@ -196,14 +195,19 @@
 	if *left -= len(line); *left < 0 {
 		return nil, fmt.Errorf("%w: header too long", errAnswer)
 	}
-	return bytes.TrimRight(line, "\r\n"), nil
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
+	if bytes.ContainsAny(line, "\r\x00") {
+		return nil, fmt.Errorf("%w: bare CR or NUL", errAnswer)
+	}
+	return line, nil
 }
 
 // mostChunked bounds an answer in chunks, which is held until it is whole.
 const mostChunked = 1 << 20
 
-// readAnswer reads an answer up to the body, and bodies of a known length up
-// to whole bytes.
+// readAnswer reads an answer up to the body, and bodies of a known length up to whole
+// bytes. With an error, an answer tells that its head was whole. Errors that are no
+// errAnswer are the connection's.
 func readAnswer(br *bufio.Reader, head bool, whole int) (*answer, error) {
 	a := &answer{length: -1}
 	for {
@@ -232,14 +236,14 @@
 				break
 			}
 			i := bytes.IndexByte(line, ':')
-			if i <= 0 || line[0] == ' ' || line[0] == '\t' {
+			if i <= 0 || !tokenChars(line[:i]) { // a space before the colon hides a framing header
 				return nil, fmt.Errorf("%w: header line", errAnswer)
 			}
 			h := header{append([]byte(nil), line[:i]...), append([]byte(nil), bytes.Trim(line[i+1:], " \t")...)}
 			switch {
 			case equalFold(h.name, "content-length"):
 				n, err := strconv.ParseInt(string(h.value), 10, 63)
-				if err != nil || n < 0 || (a.length >= 0 && a.length != n) {
+				if err != nil || !digits(h.value) || (a.length >= 0 && a.length != n) {
 					return nil, fmt.Errorf("%w: content-length", errAnswer)
 				}
 				a.length = n
