--- a/internal/hatch/hatch.go
+++ b/internal/hatch/hatch.go
@@ -50,10 +50,18 @@
 	return &API{node: node, board: board, wait: wait}
 }
 
-// Server wraps a handler in a server that adds nothing of its own to answers.
+// Server wraps a handler in a server that adds nothing of its own to answers, and holds
+// none back.
 func Server(h fasthttp.RequestHandler, maxBody int) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: h, NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			h(ctx)
+			// The library keeps an answer until the next request is handled, if that has
+			// come already (pipelining), but for one whose handler has set a bound for
+			// writing; this one is none.
+			_ = ctx.SetWriteDeadline(time.Time{}) // fails on a connection that has ended
+		},
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisableHeaderNamesNormalizing: true, MaxRequestBodySize: maxBody, ReadBufferSize: 16 << 10,
 		CloseOnShutdown: true, DisablePreParseMultipartForm: true, Logger: quiet{}, SecureErrorLogMessage: true,
 	}
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"net"
 	"strconv"
 	"sync"
 	"syscall"
@@ -227,6 +228,10 @@
 			if errors.Is(err, errTooLong) {
 				return notch.New(notch.BodyTooLarge, "over %d bytes", int64(most))
 			}
+			var ne net.Error
+			if errors.As(err, &ne) && ne.Timeout() {
+				return notch.New(notch.HeaderTimeout, "body")
+			}
 			return notch.New(notch.BadRequest, "body")
 		}
 		if len(whole) <= prefetch {
