relay: no call begins on a kept connection where something stands or that has ended

Cause: the library's pool looks at a kept connection only when it is used. A call that met one which the core node had closed had no clear outcome, although not one byte of it could have been read; bytes that came in excess would have been the next caller's answer. After a call without an answer, headers of a part of one went to the caller.

Change: the first write of a call asks the kernel whether the connection is quiet; if not, nothing is written and the call goes on a new one. Nothing else is ever sent twice. The question stands in dowel.Quiet, for the proxy's connections as well.

--- a/cmd/vise/relay.go
+++ b/cmd/vise/relay.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -154,7 +155,7 @@
 			held = true
 			log.Info("passing calls on", "to", api)
 			c := &fasthttp.HostClient{
-				Addr: api, MaxIdemponentCallAttempts: 1, RetryIfErr: never, MaxConns: 1000, ReadTimeout: r.poll,
+				Addr: api, MaxIdemponentCallAttempts: freshTries, RetryIfErr: untouched, MaxConns: 1000, ReadTimeout: r.poll,
 				NoDefaultUserAgentHeader: true, DisableHeaderNamesNormalizing: true, DisablePathNormalizing: true,
 				Dial: func(addr string) (net.Conn, error) {
 					c, err := net.DialTimeout("tcp4", addr, silence/2)
@@ -162,7 +163,12 @@
 						return nil, errors.Join(errDial, err)
 					}
 					dowel.SetSilence(c, silence)
-					return c, nil
+					rc, err := c.(*net.TCPConn).SyscallConn()
+					if err != nil {
+						c.Close()
+						return nil, errors.Join(errDial, err)
+					}
+					return &once{Conn: c, rc: rc}, nil
 				},
 			}
 			defer c.CloseIdleConnections()
@@ -201,13 +207,17 @@
 		if bytes.HasPrefix(ctx.Path(), []byte("/api/watch/")) {
 			wait = r.poll
 		}
+		// It works on the caller's buffers, and only until it returns.
 		err := to.DoTimeout(&ctx.Request, &ctx.Response, wait)
+		if err != nil {
+			ctx.Response.Reset() // a part of an answer may stand there
+		}
 		ctx.Response.Header.Del("Connection")
 		switch {
 		case err == nil:
 			r.passed.Inc()
-		case errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns):
-			r.lost.Inc()
+		case errors.Is(err, errDial) || errors.Is(err, errEnded) || errors.Is(err, fasthttp.ErrNoFreeConns):
+			r.lost.Inc() // not one byte of it left
 			hatch.Fail(ctx, notch.New(notch.Unavailable, "core node cannot be reached"))
 		default:
 			r.failed.Inc()
@@ -225,5 +235,36 @@
 
 var errDial = errors.New("not connected")
 
-// never: a call that may have arrived is not sent again.
-func never(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+// errEnded says that a kept connection was found to have ended, or to hold bytes that
+// belong to no call, before one byte of the next call left on it.
+var errEnded = errors.New("kept connection has ended")
+
+// freshTries bounds how many kept connections that have ended a call may meet.
+const freshTries = 8
+
+// untouched lets a call be sent again only if not one byte of it left.
+func untouched(_ *fasthttp.Request, _ int, err error) (resetTimeout, retry bool) {
+	return false, errors.Is(err, errEnded)
+}
+
+// once is a connection to a core node, which carries one call at a time. The library
+// drops a connection whose call was given up; what this adds is that no call begins on
+// one where something stands or that has ended.
+type once struct {
+	net.Conn
+	rc    syscall.RawConn
+	heard bool // since the last write: the next one begins a call
+}
+
+func (c *once) Read(b []byte) (int, error) {
+	c.heard = true
+	return c.Conn.Read(b)
+}
+
+func (c *once) Write(b []byte) (int, error) {
+	if c.heard && !dowel.Quiet(c.rc) {
+		return 0, errEnded
+	}
+	c.heard = false
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/cmd/vise/relayhop_test.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lichentray/internal/caliper"
+	"lichentray/internal/daemon"
+	"lichentray/internal/vicetest"
+)
+
+// rawCore is a core node's API that answers by script, and keeps what it read.
+type rawCore struct {
+	ln  net.Listener
+	mu  sync.Mutex
+	got []string // "connection call"
+	// script answers a call, knowing the number of its connection; "" ends that.
+	script func(conn int, of string, c net.Conn) string
+}
+
+func newRawCore(t *testing.T, script func(int, string, net.Conn) string) *rawCore {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rawCore{ln: ln, script: script}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go r.serve(n, c)
+		}
+	}()
+	return r
+}
+
+func (r *rawCore) serve(n int, c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		of := req.URL.Query().Get("of")
+		r.mu.Lock()
+		r.got = append(r.got, fmt.Sprint(n, " ", of))
+		r.mu.Unlock()
+		a := r.script(n, of, c)
+		if _, err := io.WriteString(c, a); err != nil || a == "" {
+			return
+		}
+	}
+}
+
+func (r *rawCore) times(of string) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, g := range r.got {
+		if strings.HasSuffix(g, " "+of) {
+			n++
+		}
+	}
+	return n
+}
+
+func whole(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// relayTo starts a relay to a core node on the loopback and gives its address.
+func relayTo(t *testing.T, r *rawCore, ips []string, contactS int) string {
+	control, internal := vicetest.FreePort(t, ips...), vicetest.FreePort(t, ips...)
+	var diskless atomic.Bool
+	core(t, ips[0], internal, r.ln.Addr().String(), &diskless)
+	s := vicetest.Settings(t, ips[1], "", control, internal, []string{ips[0]}, false)
+	s.QuorumMember = false
+	s.Bounds.Contact = caliper.Seconds(contactS)
+	sig := &daemon.Signals{Stop: make(chan struct{}), Changed: make(chan *caliper.Settings)}
+	ended := make(chan error, 1)
+	go func() { ended <- runRelay(s, slog.New(slog.NewTextHandler(io.Discard, nil)), sig) }()
+	t.Cleanup(func() {
+		close(sig.Stop)
+		if err := <-ended; err != nil && !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+	})
+	addr := fmt.Sprintf("%s:%d", ips[1], control)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if code, _ := relayed(addr, "ready"); code == 200 {
+			return addr
+		}
+		if time.Now().After(end) {
+			t.Fatal("the relay never passed a call on")
+		}
+	}
+}
+
+func relayed(addr, of string) (int, string) {
+	r, err := http.Post("http://"+addr+"/api/rpc?call=locks.begin&of="+of, "application/json", strings.NewReader("{}"))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	if err != nil || r.Header.Get("X-Part") != "" {
+		return 0, fmt.Sprint("a part of an answer: ", r.Header, err)
+	}
+	return r.StatusCode, string(body)
+}
+
+// TestRelayAnswersTheirCaller: an answer that is late, doubled, cut or lost reaches no
+// other caller, and its call is never sent twice; a call that meets a kept connection
+// that has ended is sent on a new one, as not one byte of it left.
+func TestRelayAnswersTheirCaller(t *testing.T) {
+	gone, said := make(chan struct{}), make(chan struct{})
+	r := newRawCore(t, func(n int, of string, c net.Conn) string {
+		switch of {
+		case "late": // comes when its call has been given up
+			_, _ = io.Copy(io.Discard, c)
+			_, _ = io.WriteString(c, whole(of))
+			close(gone)
+			return ""
+		case "doubled": // the second comes a moment later
+			_, _ = io.WriteString(c, whole(of))
+			<-said
+			_, _ = io.WriteString(c, whole("left over"))
+			said <- struct{}{}
+			_, _ = io.Copy(io.Discard, c)
+			return ""
+		case "cut":
+			_, _ = io.WriteString(c, "HTTP/1.1 201 No\r\nX-Part: p\r\nContent-Length: 90\r\n\r\npart")
+			return ""
+		case "lost":
+			return ""
+		case "bye":
+			_, _ = io.WriteString(c, whole(of))
+			c.Close()
+			said <- struct{}{}
+			return ""
+		}
+		return whole(of)
+	})
+	addr := relayTo(t, r, []string{"127.0.0.33", "127.0.0.34"}, 1)
+	clear := 0
+	for round := range 20 {
+		for _, of := range []string{"doubled", "a", "bye", "b", "cut", "c", "lost", "d"} {
+			want := 200
+			if of == "cut" || of == "lost" {
+				want = 504
+			}
+			code, body := relayed(addr, of)
+			switch {
+			case of == "b" && code == 504: // the end of the connection was not there yet
+			case code != want || code == 200 && body != of:
+				t.Fatalf("round %d, %s: %d %s", round, of, code, body)
+			case of == "b":
+				clear++
+			}
+			switch of {
+			case "doubled":
+				said <- struct{}{}
+				<-said
+			case "bye":
+				<-said
+			}
+		}
+	}
+	for _, of := range []string{"doubled", "a", "bye", "b", "cut", "c", "lost", "d"} {
+		if n := r.times(of); n != 20 && of != "b" || n > 20 {
+			t.Errorf("%s arrived %d times in 20 rounds", of, n)
+		}
+	}
+	if clear < 10 {
+		t.Errorf("%d of 20 calls that met a connection that had ended were clear", clear)
+	}
+	if code, _ := relayed(addr, "late"); code != 504 {
+		t.Errorf("a call without an answer in time: %d", code)
+	}
+	<-gone // the relay ended that connection
+	if code, body := relayed(addr, "after"); code != 200 || body != "after" {
+		t.Errorf("after it: %d %s", code, body)
+	}
+}
+
+// TestRelaySmugglesNothing: what is ambiguous in its framing is not passed on as two
+// calls.
+func TestRelaySmugglesNothing(t *testing.T) {
+	r := newRawCore(t, func(_ int, of string, _ net.Conn) string { return whole(of) })
+	addr := relayTo(t, r, []string{"127.0.0.35", "127.0.0.36"}, 6)
+	evil := "POST /api/rpc?call=locks.begin&of=evil HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	head := "POST /api/rpc?call=locks.begin&of=a HTTP/1.1\r\nHost: h\r\n"
+	for _, raw := range []string{
+		head + fmt.Sprintf("Content-Length: 3\r\nContent-Length: %d\r\n\r\n", len(evil)),
+		head + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", len(evil)+5),
+		head + fmt.Sprintf("Content-Length : %d\r\n\r\n", len(evil)),
+		head + fmt.Sprintf("content-length: %d\r\n\r\n", len(evil)),
+		head + fmt.Sprintf("Content-Length: %d\r\nExpect: 100-continue\r\n\r\n", len(evil)),
+		head + fmt.Sprintf("X-A: b\r\n Content-Length: 0\r\nContent-Length: %d\r\n\r\n", len(evil)),
+		head + fmt.Sprintf("X-A: b\rContent-Length: 0\r\nContent-Length: %d\r\n\r\n", len(evil)),
+		head + fmt.Sprintf("Connection: close, Content-Length\r\nContent-Length: %d\r\n\r\n", len(evil)),
+		strings.Replace(head, "POST", "GET", 1) + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(evil)),
+		strings.Replace(head, "POST", "HEAD", 1) + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(evil)),
+		strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1) + fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n", len(evil)),
+		head + "Transfer-Encoding: chunked\r\nTrailer: Content-Length\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\nContent-Length: 0\r\n\r\n", len(evil), evil),
+	} {
+		if !strings.Contains(raw, evil) {
+			raw += evil
+		}
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		_, _ = io.WriteString(c, raw)
+		_ = c.(*net.TCPConn).CloseWrite()
+		answers, _ := io.ReadAll(c)
+		c.Close()
+		if n := r.times("evil"); n > 0 {
+			t.Errorf("%q: its body became %d calls; answered %q", raw, n, answers)
+		}
+		if code, body := relayed(addr, "next"); code != 200 || body != "next" {
+			t.Errorf("after %q: %d %s", raw, code, body)
+		}
+		r.mu.Lock()
+		r.got = nil
+		r.mu.Unlock()
+	}
+}
--- a/internal/plane/upstream.go
+++ b/internal/plane/upstream.go
@@ -106,21 +106,8 @@
 	s.empty()
 }
 
-// silent tells that nothing has come on an idle connection: neither an end nor
-// bytes that nobody asked for.
-func (u *upstream) silent() bool {
-	if u.br.Buffered() > 0 {
-		return false
-	}
-	sound := false
-	// Control, as Read would fail once the last request's deadline has passed.
-	err := u.rc.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		sound = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && sound
-}
+// silent tells that nothing has come on an idle connection.
+func (u *upstream) silent() bool { return u.br.Buffered() == 0 && dowel.Quiet(u.rc) }
 
 func dialUpstream(addr string, wait, silence time.Duration) (*upstream, error) {
 	d := net.Dialer{Timeout: wait, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
