--- a/internal/dowel/dowel_test.go
+++ b/internal/dowel/dowel_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"errors"
+	"io"
 	"net"
 	"reflect"
 	"testing"
@@ -69,6 +70,15 @@
 	}
 }
 
+// spoken is the end of a connection whose other side said some bytes and ended.
+type spoken struct {
+	net.Conn
+	in io.Reader
+}
+
+func (s *spoken) Read(b []byte) (int, error)      { return s.in.Read(b) }
+func (s *spoken) SetReadDeadline(time.Time) error { return nil }
+
 func FuzzReceive(f *testing.F) {
 	f.Add([]byte{0, 0, 0, 2, 1, 2})
 	f.Add([]byte{255, 255, 255, 255})
@@ -78,12 +88,7 @@
 	n, _ := b.Read(buf)
 	f.Add(append([]byte(nil), buf[:n]...))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		a, b := pair(t)
-		go func() {
-			_, _ = a.Write(in)
-			a.Close()
-		}()
-		c := NewConn(b, time.Second)
+		c := NewConn(&spoken{in: bytes.NewReader(in)}, time.Second)
 		for {
 			if _, err := c.Receive(time.Second); err != nil {
 				return
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -142,7 +142,7 @@
 	head = append(head, uri...)
 	head = append(head, " HTTP/1.1\r\n"...)
 	var host, deadline, named []byte
-	hosts, lengths, encodings := 0, 0, 0
+	hosts, lengths, encodings, ids := 0, 0, 0, 0
 	for rest := raw; len(rest) > 0; {
 		line := rest
 		if i := bytes.IndexByte(rest, '\n'); i >= 0 {
@@ -183,12 +183,13 @@
 			continue
 		case equalFold(name, "x-attempt-id"):
 			q.id = value
+			ids++
 		}
 		head = append(head, line...)
 		head = append(head, "\r\n"...)
 	}
-	if hosts != 1 || lengths+encodings > 1 {
-		return notch.New(notch.BadRequest, "host or framing headers are missing or double")
+	if hosts != 1 || lengths+encodings > 1 || ids > 1 {
+		return notch.New(notch.BadRequest, "host, framing or id headers are missing or double")
 	}
 	if len(named) > 0 {
 		head = dropNamed(head, named)
@@ -368,23 +369,7 @@
 func (p *Plane) talk(q *request, e *balance.Endpoint, u *upstream, now time.Time) (o outcome) {
 	buf := heads.Get().(*[]byte)
 	defer heads.Put(buf)
-	b := append((*buf)[:0], q.head...)
-	b = append(b, "X-Deadline: "...)
-	b = strconv.AppendInt(b, max(1, q.until.Sub(now).Milliseconds()), 10)
-	b = append(b, "\r\nX-Target-Instance: "...)
-	b = append(b, e.ID...)
-	switch {
-	case q.feed != nil && q.size < 0:
-		b = append(b, "\r\nTransfer-Encoding: chunked"...)
-	case q.size > 0 || len(q.body) > 0 || !(q.isHead || q.ctx.IsGet()):
-		b = append(b, "\r\nContent-Length: "...)
-		n := len(q.body)
-		if q.feed != nil {
-			n = q.size
-		}
-		b = strconv.AppendInt(b, int64(n), 10)
-	}
-	b = append(b, "\r\n\r\n"...)
+	b := q.framed((*buf)[:0], e.ID, q.until.Sub(now))
 	long := q.body
 	if len(long) < pacedFrom || p.pacer.rate <= 0 {
 		b, long = append(b, long...), nil
@@ -453,6 +438,28 @@
 	return o
 }
 
+// framed appends the request's head as it goes to an endpoint, with the framing of the
+// body.
+func (q *request) framed(b []byte, endpoint string, left time.Duration) []byte {
+	b = append(b, q.head...)
+	b = append(b, "X-Deadline: "...)
+	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
+	b = append(b, "\r\nX-Target-Instance: "...)
+	b = append(b, endpoint...)
+	switch {
+	case q.feed != nil && q.size < 0:
+		b = append(b, "\r\nTransfer-Encoding: chunked"...)
+	case q.size > 0 || len(q.body) > 0 || !(q.isHead || q.ctx.IsGet()):
+		b = append(b, "\r\nContent-Length: "...)
+		n := len(q.body)
+		if q.feed != nil {
+			n = q.size
+		}
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return append(b, "\r\n\r\n"...)
+}
+
 // belongs tells whether an answer is to the request with an id: one in excess may
 // stand where that is due. On a connection that has served another request the id must
 // be there.
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -583,6 +583,8 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: v\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\nContent-Length: 5\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length : 9\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: +1\r\nX: a\rb\r\n\r\nx"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, err := readAnswer(bufio.NewReader(bytes.NewReader(b)), false, 1<<16)
 		if err != nil {
@@ -591,6 +593,11 @@
 		if a.status < 200 || a.status > 999 || (a.rest == nil && a.length >= 0 && a.status != 204 && a.status != 304 && int64(len(a.body)) != a.length) {
 			t.Fatalf("%q was taken as %+v", b, a)
 		}
+		for _, h := range a.headers { // nothing that another reader may frame otherwise
+			if !tokenChars(h.name) || bytes.ContainsAny(h.value, "\r\n\x00") || equalFold(h.name, "content-length") && !digits(h.value) {
+				t.Fatalf("%q was taken with header %q: %q", b, h.name, h.value)
+			}
+		}
 	})
 }
 
