--- a/clamp/replication.go
+++ b/clamp/replication.go
@@ -204,8 +204,11 @@
 		p.match = m.Index
 		p.ackedAt = n.now
 	}
-	p.flow.acked(n, p.match)
-	if p.transfer != nil && p.match >= p.transfer.snap.Index {
+	if t := p.transfer; t == nil {
+		p.flow.acked(n, p.match)
+	} else if p.match >= t.snap.Index {
+		p.flow.acked(n, uint64(len(t.snap.Data)))
+		p.flow.lost()
 		p.transfer = nil
 	}
 	p.next = max(p.next, p.match+1)
--- a/clamp/snapshot.go
+++ b/clamp/snapshot.go
@@ -91,6 +91,9 @@
 	if len(in.snap.Data) >= in.size && crc32.Checksum(in.snap.Data, castagnoli) != in.sum {
 		in.snap.Data = in.snap.Data[:0] // damaged on its way; from the start
 	} else if len(in.snap.Data) == in.size {
+		if n.cfg.Check != nil && n.cfg.Check(in.snap.Data) != nil {
+			return
+		}
 		n.installSnapshot(in.snap)
 		n.outAfter(Message{Type: MsgAppendResp, To: m.From, Index: s.Index})
 		return
--- a/clamp/types.go
+++ b/clamp/types.go
@@ -161,7 +161,10 @@
 	Heartbeat time.Duration
 	Election  time.Duration // shortest; the longest is twice that
 	Rand      func(n int64) int64
-	MaxBatch  int // bytes of entries in one message; four times as many may be on their way to a member
+	// Check tells whether a leader's snapshot can be restored; nil takes all. One
+	// that cannot is not installed, and the node goes on lagging.
+	Check    func(data []byte) error
+	MaxBatch int // bytes of entries in one message; four times as many may be on their way to a member
 }
 
 // Saved is what a node finds on its disk.
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -104,7 +104,8 @@
 	checkedAt time.Duration
 	trimAt    time.Duration
 	marks     []mark
-	membersAt uint64 // log index of the membership that the links follow
+	restored  *rack.Store // of a leader's snapshot, until it is installed
+	membersAt uint64      // log index of the membership that the links follow
 	counts    map[uint64]proxyCount
 	proxies   map[string]time.Duration // when the leader last heard of each
 	returning map[string]mark          // since when a zone is being taken back
@@ -273,7 +274,7 @@
 	for _, e := range saved.Entries {
 		l.logBytes += len(e.Data)
 	}
-	l.node = clamp.New(clamp.Config{ID: id.ID, Heartbeat: l.timing.Heartbeat, Election: l.timing.Election, Rand: rand.Int63n}, 0, saved)
+	l.node = clamp.New(clamp.Config{ID: id.ID, Heartbeat: l.timing.Heartbeat, Election: l.timing.Election, Rand: rand.Int63n, Check: l.checkSnapshot}, 0, saved)
 	l.links = linkSet{l: l, byAddr: map[string]*link{}, addrOf: map[uint64]string{}, zoneOf: map[string]string{addr: set.Zone}}
 	l.membersAt = l.node.MembersIndex()
 	l.links.learn(l.node.Members())
@@ -491,26 +492,20 @@
 
 func (l *Lathe) installSnapshot(s *clamp.Snapshot) {
 	l.mu.Lock()
-	err := l.store.Restore(s.Data)
-	if err == nil {
-		l.cache.Reset(l.store.Revision())
-		l.noteAll()
-		l.index = s.Index
-		l.armLocks(l.now())
-		for ch := range l.wake {
+	l.store, l.restored = l.restored, nil
+	l.cache.Reset(l.store.Revision())
+	l.noteAll()
+	l.index = s.Index
+	l.armLocks(l.now())
+	for ch := range l.wake {
+		poke(ch)
+	}
+	for _, g := range l.groups {
+		for ch := range g {
 			poke(ch)
 		}
-		for _, g := range l.groups {
-			for ch := range g {
-				poke(ch)
-			}
-		}
 	}
 	l.mu.Unlock()
-	if err != nil {
-		l.log.Error("snapshot cannot be read", "error", err)
-		return
-	}
 	l.logBytes = 0
 	for i, w := range l.pending {
 		if i <= s.Index {
--- a/internal/lathe/transfer.go
+++ b/internal/lathe/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"lichentray/clamp"
 	"lichentray/internal/dowel"
+	"lichentray/rack"
 )
 
 // Appends and snapshots go to a peer on a connection of their own: a configuration
@@ -75,3 +76,15 @@
 	}
 	return l.store.Restore(saved.Snapshot.Data)
 }
+
+// checkSnapshot restores a leader's snapshot beside the state held, which it replaces
+// once it is installed.
+func (l *Lathe) checkSnapshot(data []byte) error {
+	s := rack.New()
+	if err := s.Restore(data); err != nil {
+		l.log.Error("snapshot cannot be read, this node goes on lagging", "error", err)
+		return err
+	}
+	l.restored = s
+	return nil
+}
