lathe: a lone voter's first duties find what a leader needs

Cause: a group of one voter leads within the tick that its election timer runs out in, and duties ran in that tick before the judge and the granter of a leader were made: the process ended with a nil pointer, seen once in the race detector's runs on a loaded machine, where a tick came late.

Change: the consensus state is published between the tick and the duties.

--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -324,6 +324,7 @@
 			}
 		case <-tick.C:
 			l.node.Tick(l.now())
+			l.publish() // a lone voter leads from here on
 			l.duties()
 		}
 		l.flush()
