A leader's duties due in the tick that elects it met what it had not made yet

Cause: the only voter of a core wins its election within Tick; the duties of the same tick, due at once after a start that took over four heartbeats, used the judge of endpoints that is made when the new role is published. The process ended. Two of three runs with the race detector on a busy machine ended in a panic of this kind, the second traced to it; the sources before have the same order. Change: duties publish first. TestDutiesOfANewLeader ends by that panic without it; two further runs of the package with the race detector passed.

--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -25,6 +25,7 @@
 		return
 	}
 	l.checkedAt = now
+	l.publish() // this very tick may have made the node the leader
 	l.noteTime(now)
 	l.reportBeats(now)
 	l.countProxies(now)
--- a/internal/lathe/members_test.go
+++ b/internal/lathe/members_test.go
@@ -443,6 +443,20 @@
 	}
 }
 
+// TestDutiesOfANewLeader: the only voter of a core wins its election within a tick,
+// and its duties may be due in the same one, as after a slow start.
+func TestDutiesOfANewLeader(t *testing.T) {
+	l := newGroup(t, 1, nil).nodes[0]
+	until(t, "it leads", func() bool { return l.Status().Role == clamp.Leader.String() })
+	done := make(chan bool)
+	l.post(func() {
+		l.role, l.judge, l.granter, l.checkedAt = clamp.Follower, nil, nil, -time.Hour
+		l.duties()
+		close(done)
+	})
+	<-done
+}
+
 // TestLeaveAndReturn drives real nodes: one of four is told to end, a second one is
 // lost at once, the first returns and has its vote; the lost one is away until it is
 // no member any more, and by its disk, on which it votes, finds back in.
