--- a/clamp/clamp_test.go
+++ b/clamp/clamp_test.go
@@ -333,3 +333,21 @@
 		t.Errorf("nothing is said after the write, or committed up to %d of %d", n.Commit(), last.Index)
 	}
 }
+
+// TestLeaderOutOfTouchStepsDown: a leader that hears nobody, whether it is still
+// heard or not, leads no longer than two election spans (CheckQuorum).
+func TestLeaderOutOfTouchStepsDown(t *testing.T) {
+	for _, deaf := range []bool{false, true} {
+		c := trestle.New(3, 3, newList)
+		c.Run(time.Second)
+		old := c.Leader()
+		for _, id := range c.IDs() {
+			c.Cut(id, old.ID, true)
+			c.Cut(old.ID, id, !deaf)
+		}
+		c.Run(310 * time.Millisecond)
+		if old.Raft.Role() == clamp.Leader {
+			t.Errorf("deaf %v: it still leads", deaf)
+		}
+	}
+}
