A leader steps down by what it hears, not by its lease

Change: CheckQuorum and the refusal of votes ask for what was heard, as before the lease; the lease is for what others count on.

--- a/clamp/election.go
+++ b/clamp/election.go
@@ -144,11 +144,24 @@
 	}
 }
 
+// hears tells whether a leader has heard from a majority within span, however old what
+// it heard was: enough to go on leading, as over a slow link, not to count on it.
+func (n *Node) hears(span time.Duration) bool {
+	count := 0
+	voters := n.Members().Voters
+	for _, m := range voters {
+		if p := n.peers[m.ID]; m.ID == n.cfg.ID || p != nil && n.now-p.heardAt <= span {
+			count++
+		}
+	}
+	return count > len(voters)/2
+}
+
 // leased tells whether this node has a living leader, so that a vote asked for
 // by somebody else is not answered.
 func (n *Node) leased() bool {
 	if n.role == Leader {
-		return n.InTouch(n.cfg.Election)
+		return n.hears(n.cfg.Election)
 	}
 	return n.leader != 0 && n.now-n.heardAt < n.cfg.Election
 }
--- a/clamp/lease.go
+++ b/clamp/lease.go
@@ -10,7 +10,8 @@
 // Each is reckoned by one node's own steady clock, from when a question was sent to
 // when it is looked at, never from when an answer was read: what waited in a socket
 // while the process was frozen, or went one way only, proves nothing newer. No time
-// of one clock is compared with one of another, and the time of day is not used.
+// of one clock is compared with one of another, and the time of day is not used. Whether
+// a leader steps down is asked of what it hears, see hears.
 
 // touch is a leader's word to a follower: whoever holds the log up to commit held
 // all that was acknowledged anywhere before at, by the follower's clock.
--- a/clamp/node.go
+++ b/clamp/node.go
@@ -134,10 +134,12 @@
 }
 
 func (n *Node) tickLeader() {
-	// CheckQuorum: by now every other voter's election timer has run out.
-	if !n.InTouch(2 * n.cfg.Election) {
-		n.become(Follower, n.hard.Term, 0)
-		return
+	if n.now >= n.deadline { // CheckQuorum
+		n.deadline = n.now + n.cfg.Election
+		if !n.hears(n.cfg.Election) {
+			n.become(Follower, n.hard.Term, 0)
+			return
+		}
 	}
 	if n.transferTo != 0 && n.now-n.transferAt > n.cfg.Election {
 		n.transferTo = 0
--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -331,7 +331,6 @@
 			}
 		case <-tick.C:
 			l.node.Tick(l.now())
-			l.publish() // whoever stands alone leads from the tick on
 			l.duties()
 		}
 		l.flush()
