A lack of descriptors does not end a process

Change: every HTTP listener of the programs comes from hatch.Listen, whose Accept fails only once it is closed. Open: nothing keeps descriptors back for dialling endpoints and the core.

--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -32,18 +31,18 @@
 	p := plane.New(set, log, board)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	readiness, err := net.Listen("tcp4", set.Listen.Readiness)
+	readiness, err := hatch.Listen(set.Listen.Readiness, board)
 	if err != nil {
 		return fmt.Errorf("readiness: %w", err)
 	}
-	frontend, err := net.Listen("tcp4", set.Listen.Frontend)
+	frontend, err := hatch.Listen(set.Listen.Frontend, board)
 	if err != nil {
 		return fmt.Errorf("frontend: %w", err)
 	}
-	failed := make(chan error, 2)
+	failed := make(chan error, 1)
 	go func() { failed <- hatch.Server(p.Readiness, 64<<10).Serve(readiness) }()
 	front := plane.NewFront(p, frontend)
-	go func() { failed <- front.Run() }()
+	go front.Run()
 	go p.Follow(ctx)
 	go p.LookForRelay(ctx)
 	for {
--- a/cmd/vise/main.go
+++ b/cmd/vise/main.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -57,14 +56,14 @@
 	defer node.Close()
 	api := hatch.NewAPI(apiNode{node}, board, set.Bounds.HistoryRetention.D())
 	srv := hatch.Server(api.Serve, 16<<20)
-	ln, err := net.Listen("tcp4", set.Listen.Control)
+	ln, err := hatch.Listen(set.Listen.Control, board)
 	if err != nil {
 		return fmt.Errorf("control_plane: %w", err)
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- srv.Serve(ln) }()
 	if set.Listen.Directory != "" {
-		dir, err := net.Listen("tcp4", set.Listen.Directory)
+		dir, err := hatch.Listen(set.Listen.Directory, board)
 		if err != nil {
 			return fmt.Errorf("directory: %w", err)
 		}
--- a/cmd/vise/relay.go
+++ b/cmd/vise/relay.go
@@ -46,7 +46,7 @@
 		line: plumb.New(set), noDisks: make(chan struct{}), wait: b.Contact.D(), poll: b.HistoryRetention.D() + b.Contact.D(),
 		passed: board.Counter("relayed_total"), sentOn: board.Counter("relayed_by_redirect_total"), lost: board.Counter("relayed_without_target_total"), failed: board.Counter("relayed_unclear_total"),
 	}
-	ln, err := net.Listen("tcp4", set.Listen.Control)
+	ln, err := hatch.Listen(set.Listen.Control, board)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/hatch/listen.go
@@ -0,0 +1,41 @@
+package hatch
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"lichentray/internal/dial"
+)
+
+// patient is a listener that outlives a lack of descriptors, memory or buffers: what
+// is open goes on, and who comes waits in the kernel's queue. A server that is handed
+// such an error ends, and its process with it.
+type patient struct {
+	net.Listener
+	failures *dial.Counter
+	pause    time.Duration
+}
+
+// Listen opens a TCP listener at address (IP:port) whose Accept fails only once it is
+// closed.
+func Listen(address string, board *dial.Board) (net.Listener, error) {
+	ln, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %s: %w", address, err)
+	}
+	return patient{ln, board.Counter("accept_failures_total"), 10 * time.Millisecond}, nil
+}
+
+// Accept waits for a connection; its only error is net.ErrClosed.
+func (p patient) Accept() (net.Conn, error) {
+	for {
+		c, err := p.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		p.failures.Inc()
+		time.Sleep(p.pause)
+	}
+}
--- a/internal/plane/plane_test.go
+++ b/internal/plane/plane_test.go
@@ -120,7 +120,7 @@
 		t.Fatal(err)
 	}
 	f := NewFront(p, ln)
-	go func() { _ = f.Run() }()
+	go f.Run()
 	t.Cleanup(func() { ln.Close() })
 	return f
 }
--- a/internal/plane/server.go
+++ b/internal/plane/server.go
@@ -27,7 +27,7 @@
 	done chan struct{}
 }
 
-// NewFront makes the server of a listener.
+// NewFront makes the server of a listener that hatch.Listen made.
 func NewFront(p *Plane, ln net.Listener) *Front {
 	return &Front{p: p, ln: ln, open: map[net.Conn]bool{}, done: make(chan struct{})}
 }
@@ -131,22 +131,12 @@
 }
 
 // Run accepts until the listener is closed.
-func (f *Front) Run() error {
+func (f *Front) Run() {
 	defer close(f.done)
 	for {
 		c, err := f.ln.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var ne net.Error
-			if errors.As(err, &ne) && ne.Timeout() {
-				continue
-			}
-			// Out of descriptors, most likely: what is open goes on.
-			f.p.board.Counter("accept_failures_total").Inc()
-			time.Sleep(f.p.timing.Dial / 10)
-			continue
+			return // see hatch.Listen
 		}
 		go f.serve(f.server(), &client{Conn: c})
 	}
