--- a/internal/lathe/lathe.go
+++ b/internal/lathe/lathe.go
@@ -158,7 +158,7 @@
 	askSeq   atomic.Uint64
 	closing  atomic.Bool
 
-	nProposals, nUnknown, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nMoved, nBusy, nTaken, nBeats, nRemoved, nApplied *dial.Counter
+	nProposals, nUnknown, nUnread, nElections, nSync, nSyncUS, nDiskFail, nBadPeer, nRelist, nPacked, nMoved, nBusy, nTaken, nBeats, nRemoved, nApplied *dial.Counter
 }
 
 type proxyCount struct {
@@ -218,6 +218,7 @@
 	l.cache = spool.NewCacher(l.timing.Window, 20000, int(set.Limits.MemoryMB*(1<<20))/12)
 	l.nProposals = board.Counter("proposals_total")
 	l.nUnknown = board.Counter("proposals_unknown_total")
+	l.nUnread = board.Counter("reads_unconfirmed_total")
 	l.nElections = board.Counter("elections_total")
 	l.nSync = board.Counter("disk_syncs_total")
 	l.nSyncUS = board.Counter("disk_sync_microseconds_total")
@@ -695,6 +696,9 @@
 		switch to.leader {
 		case l.self.Addr:
 			r, err := l.wait(done, to.turned, end)
+			if notch.Of(err) == notch.Unknown {
+				l.nUnknown.Inc()
+			}
 			if err == nil || notch.Of(err) != notch.Unavailable {
 				return r, err
 			}
@@ -736,7 +740,6 @@
 			turned = nil
 			t.Reset(min(time.Until(end), l.timing.Election))
 		case <-t.C:
-			l.nUnknown.Inc()
 			return rack.Result{}, notch.New(notch.Unknown, "no majority in time")
 		}
 	}
@@ -785,6 +788,7 @@
 			if err == nil {
 				return l.waitApplied(r.Revision, time.Until(end))
 			}
+			l.nUnread.Inc()
 		case "":
 		default:
 			ans, _, err := l.links.ask(to, &dowel.Ask{Read: true}, min(time.Until(end), l.timing.Answer))
--- a/internal/lathe/link.go
+++ b/internal/lathe/link.go
@@ -479,6 +479,9 @@
 		return failed(id, errNotLeader)
 	}
 	r, err := l.wait(done, to.turned, end)
+	if notch.Of(err) == notch.Unknown {
+		l.nUnknown.Inc()
+	}
 	if err != nil {
 		return failed(id, err)
 	}
