An upload that breaks off is no request

Where a client hangs up inside a body of a stated length the HTTP library's stream ends like a whole one, and what had come was sent on under its own length. Change: a body shorter than was stated is refused as unreadable; no endpoint is asked.

--- a/internal/plane/byte_test.go
+++ b/internal/plane/byte_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -526,3 +527,28 @@
 		t.Errorf("answered %+v, %v", r, err)
 	}
 }
+
+// TestBrokenUpload: a client that hangs up in the middle of a body of a stated length
+// has sent no request: no endpoint gets one with what had come by then as its body.
+func TestBrokenUpload(t *testing.T) {
+	var arrived atomic.Int64
+	e := newEndpoint(t, func(int, string) string { arrived.Add(1); return ok("x") })
+	p, addr := front(t, e)
+	sizes := [][2]int{{40000, 20000}, {40000, 39999}, {prefetch, prefetch - 1}, {2 * prefetch, prefetch}}
+	for i, x := range sizes {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		_, _ = fmt.Fprintf(c, "POST /once/a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d\r\nX-Deadline: 9000\r\nContent-Length: %d\r\n\r\n%s", i, x[0], strings.Repeat("b", x[1]))
+		_ = c.(*net.TCPConn).CloseWrite()
+		if r, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil && r.StatusCode != 400 {
+			t.Errorf("%d of %d bytes: answered %d", x[1], x[0], r.StatusCode)
+		}
+		c.Close()
+	}
+	if n := p.n.requests.Value(); arrived.Load() != 0 || n != int64(len(sizes)) {
+		t.Errorf("%d requests reached an endpoint, %d the proxy", arrived.Load(), n)
+	}
+}
--- a/internal/plane/forward.go
+++ b/internal/plane/forward.go
@@ -235,6 +235,10 @@
 			}
 			return notch.New(notch.BadRequest, "body")
 		}
+		// The library ends a body of a stated length where its client hangs up.
+		if q.size >= 0 && len(whole) < min(q.size, prefetch+1) {
+			return notch.New(notch.BadRequest, "%d bytes of a body of %d", len(whole), q.size)
+		}
 		if len(whole) <= prefetch {
 			q.body, q.feed, q.size = whole, nil, len(whole)
 		} else {
