--- a/clamp/lease.go
+++ b/clamp/lease.go
@@ -1,9 +1,6 @@
 package clamp
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Leases: how long ago a node was in touch with a majority.
 //
@@ -37,23 +34,7 @@
 // quorumAt is the newest moment for which a majority of the voters has answered a
 // heartbeat that this leader sent then or later.
 func (n *Node) quorumAt() time.Duration {
-	voters := n.Members().Voters
-	if len(voters) == 0 {
-		return 0
-	}
-	at := make([]time.Duration, 0, len(voters))
-	for _, m := range voters {
-		switch p := n.peers[m.ID]; {
-		case m.ID == n.cfg.ID:
-			at = append(at, n.now)
-		case p != nil:
-			at = append(at, p.askedAt)
-		default:
-			at = append(at, 0)
-		}
-	}
-	slices.Sort(at)
-	return at[(len(at)-1)/2]
+	return majority(n, n.now, func(p *progress) time.Duration { return p.askedAt })
 }
 
 // noteTouch takes what a heartbeat proves.
--- a/clamp/membership.go
+++ b/clamp/membership.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/gob"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -97,3 +99,23 @@
 	}
 	return d
 }
+
+// majority gives the largest value that more than half of the voters have reached, own
+// for this node and of for the others; zero where nothing is known of one, or nobody
+// votes.
+func majority[T cmp.Ordered](n *Node, own T, of func(*progress) T) (reached T) {
+	voters := n.Members().Voters
+	if len(voters) == 0 {
+		return reached
+	}
+	all := make([]T, len(voters))
+	for i, m := range voters {
+		if m.ID == n.cfg.ID {
+			all[i] = own
+		} else if p := n.peers[m.ID]; p != nil {
+			all[i] = of(p)
+		}
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
--- a/clamp/readindex.go
+++ b/clamp/readindex.go
@@ -1,9 +1,5 @@
 package clamp
 
-import (
-	"sort"
-)
-
 // Confirmed read points (ReadIndex).
 
 type pendingRead struct {
@@ -51,19 +47,7 @@
 }
 
 func (n *Node) releaseReads() {
-	voters := n.Members().Voters
-	got := make([]uint64, 0, len(voters))
-	for _, m := range voters {
-		if m.ID == n.cfg.ID {
-			got = append(got, n.seq)
-		} else if p := n.peers[m.ID]; p != nil {
-			got = append(got, p.context)
-		} else {
-			got = append(got, 0)
-		}
-	}
-	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
-	sure := got[len(voters)/2]
+	sure := majority(n, n.seq, func(p *progress) uint64 { return p.context })
 	keep := n.reads[:0]
 	for _, r := range n.reads {
 		if r.seq <= sure {
--- a/clamp/replication.go
+++ b/clamp/replication.go
@@ -1,9 +1,6 @@
 package clamp
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // Log replication.
 
@@ -324,16 +321,7 @@
 }
 
 func (n *Node) maybeCommit() {
-	voters := n.Members().Voters
-	if len(voters) == 0 {
-		return
-	}
-	got := make([]uint64, 0, len(voters))
-	for _, m := range voters {
-		got = append(got, n.Match(m.ID))
-	}
-	sort.Slice(got, func(i, j int) bool { return got[i] > got[j] })
-	i := got[len(voters)/2]
+	i := majority(n, n.stable, func(p *progress) uint64 { return p.match })
 	if t, ok := n.term(i); ok && t == n.hard.Term && i > n.commit {
 		n.commit = i
 	}
--- a/internal/lathe/duties.go
+++ b/internal/lathe/duties.go
@@ -75,17 +75,19 @@
 	l.node.Propose(rack.EncodeCommand(rack.Command{Latch: &latch.Command{Op: latch.Trim, Before: before}}))
 	// Signs of the departed are kept as long as the history.
 	var drop rack.Txn
+	forget := func(o rack.Object) {
+		drop.If = append(drop.If, rack.Condition{Key: o.Key, ModRevision: o.ModRevision})
+		drop.Then = append(drop.Then, rack.Write{Key: o.Key, Delete: true})
+	}
 	for _, o := range l.store.List(rack.DepartedPrefix) {
 		if o.ModRevision <= before {
-			drop.If = append(drop.If, rack.Condition{Key: o.Key, ModRevision: o.ModRevision})
-			drop.Then = append(drop.Then, rack.Write{Key: o.Key, Delete: true})
+			forget(o)
 		}
 	}
 	// So are digests of configurations, by number.
 	if marks := l.store.List(rack.AcceptedPrefix); len(marks) > acceptedMost {
 		for _, o := range marks[:len(marks)-acceptedMost] {
-			drop.If = append(drop.If, rack.Condition{Key: o.Key, ModRevision: o.ModRevision})
-			drop.Then = append(drop.Then, rack.Write{Key: o.Key, Delete: true})
+			forget(o)
 		}
 	}
 	if len(drop.Then) > 0 {
