--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -15,6 +15,7 @@
 	streamsLost          *metrics.Counter
 	lists                *metrics.Counter
 	watches              *metrics.Counter
+	searchesFailed       *metrics.Counter
 	registryRevision     *metrics.Counter
 	configVersion        *metrics.Counter
 }
@@ -32,6 +33,7 @@
 		streamsLost:          r.Counter("watch_streams_lost_total"),
 		lists:                r.Counter("watch_streams_listed_total"),
 		watches:              r.Counter("watch_streams_resumed_total"),
+		searchesFailed:       r.Counter("control_plane_searches_failed_total"),
 		registryRevision:     r.Counter("registry_revision"),
 		configVersion:        r.Counter("config_version"),
 	}
--- /dev/null
+++ b/internal/proxy/departure_test.go
@@ -0,0 +1,217 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lichentray/registry"
+)
+
+// patientConfig is testConfig with a time-out and a latency target that no test reaches: what
+// ends in the tests below ends because its client has left.
+var patientConfig = strings.NewReplacer(`"timeout_s":5`, `"timeout_s":300`, `"target_latency_s":1,`, `"target_latency_s":300,`,
+	`"config_version":3`, `"config_version":4`).Replace(testConfig)
+
+// departureBound is how long the tests wait for what has to happen once a client has left. It
+// is far above the time that it takes, as the machine may be busy.
+const departureBound = 20 * time.Second
+
+// slowEndpoint is an endpoint that begins to work on each request and answers when it is told
+// to, or notices that the connection was closed.
+type slowEndpoint struct {
+	listener net.Listener
+	// begin is sent at once for each request: the start of an answer, or nothing.
+	begin string
+	// started receives the path of each request, ended that of each whose connection has ended.
+	started, ended chan string
+	// answer has what is sent to whichever request waits for an answer.
+	answer chan string
+}
+
+func newSlowEndpoint(t *testing.T, begin string) *slowEndpoint {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &slowEndpoint{
+		listener: listener,
+		begin:    begin,
+		started:  make(chan string, 100),
+		ended:    make(chan string, 100),
+		answer:   make(chan string),
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			go e.serve(conn)
+		}
+	}()
+	return e
+}
+
+// serve works on the requests of one connection, one at a time.
+func (e *slowEndpoint) serve(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body) // it is short
+		path := request.URL.Path
+		e.started <- path
+		if _, err := io.WriteString(conn, e.begin); err != nil {
+			return
+		}
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			_, _ = reader.Peek(1) // the next request, or the end
+		}()
+		select {
+		case answer := <-e.answer:
+			_, _ = io.WriteString(conn, strings.ReplaceAll(answer, "ID", request.Header.Get("X-Attempt-Id"))) // it may be closed
+			<-closed
+		case <-closed:
+		}
+		if reader.Buffered() == 0 {
+			e.ended <- path
+			return
+		}
+	}
+}
+
+// startPatientProxy starts a proxy node with patientConfig and endpoints of a capacity.
+func startPatientProxy(t *testing.T, capacity int, endpoints ...*slowEndpoint) (*Proxy, *Frontend) {
+	p, f := startFrontend(t)
+	p.applyObject(registry.Object{Key: registry.ConfigKey, Value: append(make([]byte, 8), patientConfig...)}, false)
+	for i, e := range endpoints {
+		x := registry.Endpoint{ID: fmt.Sprint("slow-", i), Service: "s", Address: e.listener.Addr().String(), Zone: "a", Capacity: capacity}
+		p.applyObject(registry.Object{Key: x.Key(), Value: x.Encode()}, false)
+	}
+	return p, f
+}
+
+// slowRequest is a request with a deadline that no test reaches, on a connection that is kept.
+func slowRequest(method, path string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline: 250000\r\nContent-Length: 0\r\n\r\n"
+}
+
+// sendAndStay sends a request and returns the connection. The client leaves when it is closed.
+func sendAndStay(t *testing.T, f *Frontend, request string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", f.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// receivePath receives what an endpoint tells.
+func receivePath(t *testing.T, from <-chan string, what string) string {
+	t.Helper()
+	select {
+	case path := <-from:
+		return path
+	case <-time.After(departureBound):
+		t.Fatal("never came: " + what)
+		return ""
+	}
+}
+
+// awaitCondition waits until a condition holds, and ends the test if it does not.
+func awaitCondition(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(departureBound); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never came: " + what)
+		}
+	}
+}
+
+// queueLength is how many requests wait for an endpoint.
+func queueLength(p *Proxy) int {
+	s := p.services["s"]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue.waiters)
+}
+
+// openConnections is how many client connections there are.
+func openConnections(f *Frontend) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.connections)
+}
+
+// TestAttemptEndsWhenClientLeaves: an endpoint's work on a request that may be repeated, or on a
+// long response, ends once its client has left, and no other endpoint is asked.
+func TestAttemptEndsWhenClientLeaves(t *testing.T) {
+	longHead := "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Signature: s\r\nContent-Length: 1000000\r\n\r\n"
+	for _, c := range []struct{ name, begin, request string }{
+		{"before the response begins", "", slowRequest("GET", "/safe/x")},
+		{"within the head of the response", longHead[:20], slowRequest("GET", "/safe/x")},
+		{"within a buffered body", strings.Replace(longHead, "1000000", "100", 1), slowRequest("GET", "/safe/x")},
+		{"within a streamed body", longHead + strings.Repeat("x", 100000), slowRequest("GET", "/safe/x")},
+		{"within a streamed body of a request that is not idempotent", longHead + strings.Repeat("x", 100000), slowRequest("POST", "/once/x")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := newSlowEndpoint(t, c.begin), newSlowEndpoint(t, c.begin)
+			_, f := startPatientProxy(t, 4, first, second)
+			client := sendAndStay(t, f, c.request)
+			var working, idle *slowEndpoint
+			select {
+			case <-first.started:
+				working, idle = first, second
+			case <-second.started:
+				working, idle = second, first
+			}
+			client.Close()
+			receivePath(t, working.ended, "the end of the endpoint's connection")
+			awaitCondition(t, "the end of the request", func() bool { return openConnections(f) == 0 })
+			if len(working.started)+len(idle.started) > 0 {
+				t.Error("the request of a client that has left was sent to another endpoint")
+			}
+		})
+	}
+}
+
+// TestQueuedRequestIsDroppedWhenClientLeaves: a request that waits for an endpoint leaves the
+// queue with its client, whether it may be repeated or not, and never reaches an endpoint.
+func TestQueuedRequestIsDroppedWhenClientLeaves(t *testing.T) {
+	for _, request := range []string{slowRequest("GET", "/safe/queued"), slowRequest("POST", "/once/queued")} {
+		endpoint := newSlowEndpoint(t, "")
+		p, f := startPatientProxy(t, 1, endpoint)
+		queued := 0
+		for queueLength(p) == 0 { // occupies the endpoint
+			sendAndStay(t, f, slowRequest("GET", "/safe/first"))
+			queued++
+			awaitCondition(t, "the request is handled", func() bool { return len(endpoint.started)+queueLength(p) == queued })
+		}
+		before := queueLength(p)
+		client := sendAndStay(t, f, request)
+		awaitCondition(t, "the request waits for an endpoint", func() bool { return queueLength(p) == before+1 })
+		client.Close()
+		awaitCondition(t, "the request leaves the queue", func() bool { return queueLength(p) == before })
+		for len(endpoint.started) > 0 {
+			if path := <-endpoint.started; strings.HasSuffix(path, "queued") {
+				t.Errorf("%s reached an endpoint", path)
+			}
+		}
+	}
+}
--- a/internal/proxy/finder.go
+++ b/internal/proxy/finder.go
@@ -55,7 +55,7 @@
 	defer cancel()
 	f := newStreamFinder(p, request)
 	backoff := p.timeouts.dial / 4
-	for ctx.Err() == nil {
+	for isFirstRound := true; ctx.Err() == nil; {
 		s, hasLearned := f.askCandidates(ctx, avoid)
 		if s != nil {
 			return s
@@ -63,6 +63,12 @@
 		if hasLearned {
 			continue
 		}
+		p.counters.searchesFailed.Inc()
+		if isFirstRound {
+			isFirstRound = false
+			p.log.Info("no control-plane node answered, searching on",
+				"candidates", p.controlNodes.Candidates(avoid), "members_known", len(p.controlNodes.Nodes()))
+		}
 		avoid = ""
 		clear(f.relays) // a relay may know of a working core node by now
 		if s := f.backOff(ctx, backoff); s != nil {
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -15,15 +15,24 @@
 // followNearest follows one core node after the other until ctx ends.
 func (r *relay) followNearest(ctx context.Context) {
 	lastFollowed := ""
+	isSearchLogged := false
 	for ctx.Err() == nil {
-		for _, addr := range r.locator.Candidates(lastFollowed) {
+		candidates := r.locator.Candidates(lastFollowed)
+		hasFollowed := false
+		for _, addr := range candidates {
 			lost := r.followNode(ctx, addr)
-			r.target.Store(nil)
+			if r.target.Swap(nil) != nil {
+				hasFollowed = true
+			}
 			if lost {
 				lastFollowed = addr
 				break
 			}
 		}
+		if !hasFollowed {
+			r.recordFailedSearch(candidates, isSearchLogged)
+		}
+		isSearchLogged = !hasFollowed
 		select {
 		case <-ctx.Done():
 		case <-time.After(r.timeouts.retry):
@@ -31,6 +40,15 @@
 	}
 }
 
+// recordFailedSearch counts a round over all candidates in which none could be followed, and
+// logs the first one of several.
+func (r *relay) recordFailedSearch(candidates []string, isLogged bool) {
+	r.searchesFailed.Inc()
+	if !isLogged {
+		r.log.Info("no core node found, searching on", "candidates", candidates, "members_known", len(r.locator.Nodes()))
+	}
+}
+
 // followNode receives the bookmarks of a core node, which prove that it is up to
 // date, and makes it the target of calls. It returns when the node is silent, is no
 // member, or a nearer one is known. lost reports whether the node was the target and is
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,6 +50,12 @@
 	redirected     *metrics.Counter // callers sent to the core, see mustRedirect
 	unavailable    *metrics.Counter // calls of which not one byte was sent
 	outcomeUnknown *metrics.Counter
+	// asked and askedInVain count who connected to learn where the core is, and those of them
+	// that this relay could not tell.
+	asked       *metrics.Counter
+	askedInVain *metrics.Counter
+	// searchesFailed counts the rounds over all known nodes in which none could be followed.
+	searchesFailed *metrics.Counter
 }
 
 // timeouts are the durations that a relay derives from the settings.
@@ -94,6 +100,9 @@
 		redirected:     registry.Counter("relay_redirected_total"),
 		unavailable:    registry.Counter("relay_unavailable_total"),
 		outcomeUnknown: registry.Counter("relay_outcome_unknown_total"),
+		asked:          registry.Counter("relay_asked_for_core_total"),
+		askedInVain:    registry.Counter("relay_asked_for_core_in_vain_total"),
+		searchesFailed: registry.Counter("relay_core_searches_failed_total"),
 	}
 }
 
@@ -159,7 +168,12 @@
 		return
 	}
 	nodes := r.locator.Nodes()
-	if len(nodes) == 0 || conn.Send(&transport.Frame{Bookmark: &transport.Bookmark{Control: nodes}}) != nil {
+	r.asked.Inc()
+	if len(nodes) == 0 {
+		r.askedInVain.Inc()
+		return
+	}
+	if conn.Send(&transport.Frame{Bookmark: &transport.Bookmark{Control: nodes}}) != nil {
 		return
 	}
 	// The kernel resets a connection that is closed with unread bytes, and the peer
