Discovery: whoever knows the core announces it to the seeds

When everything restarts at once and the settings name relays only, relays ask relays and nobody finds the core, though it leads and serves within two seconds.

Change: an Announcer at each core node and at each relay that follows one tells it to those seeds that do not belong to the core, over a connection that is kept, so that a restart of the seed is noticed. A seed acknowledges with the core as it knows it; an empty acknowledgement counts as a violation of an invariant. Relays and core nodes take announcements. Proxies and relays also try the control-plane address of their own machine last; a core node without a group also asks peers that have connected to it (an emptied disk with dead seeds never joined).

TestCandidatesNearestFirst asks for the new last candidate, in its place.

--- a/internal/controlplane/connection_server.go
+++ b/internal/controlplane/connection_server.go
@@ -7,6 +7,7 @@
 	"net"
 
 	"lichentray/internal/apierror"
+	"lichentray/internal/discovery"
 	"lichentray/internal/transport"
 	"lichentray/registry"
 )
@@ -62,6 +63,10 @@
 		s.watches.serveProxy(conn, hello)
 	case transport.RoleRelay:
 		s.watches.serveRelay(conn)
+	case transport.RoleAnnouncer:
+		// This node is a seed of one that does not know it as a member: it is new, or lost its disk.
+		contactWindow := s.settings.Bounds.ContactWindow.Duration()
+		discovery.ReceiveAnnouncements(conn, contactWindow, s.membership.setAnnouncedNodes, s.membership.announcedCore)
 	}
 }
 
--- a/internal/controlplane/membership_manager.go
+++ b/internal/controlplane/membership_manager.go
@@ -25,8 +25,8 @@
 	mu sync.Mutex
 	// seeds are the API addresses of the settings as they were last read.
 	seeds []string
-	// relayedNodes are the members of the group as a relay named them last.
-	relayedNodes []transport.ControlNode
+	// announcedNodes are the members of the group as a relay or an announcer named them last.
+	announcedNodes []transport.ControlNode
 }
 
 // membershipSchedule is the planner and when it is next asked, see loopState.
@@ -112,28 +112,45 @@
 	}
 }
 
-// knownAddrs lists the internal addresses of members, seeds, and the nodes that a
-// relay named.
+// knownAddrs lists the internal addresses of members, seeds, the nodes that a relay or an
+// announcer named, and the peers that have connected here: those that count on a member whose
+// disk was lost know where the group is, whatever its seeds are.
 func (m *membershipManager) knownAddrs(membership raft.Membership) []string {
 	var addrs []string
 	for _, member := range membership.AllMembers() {
 		addrs = append(addrs, member.Addr)
 	}
+	addrs = append(addrs, m.seedAddrs()...)
+	for _, node := range m.announcedCore() {
+		addrs = append(addrs, node.Addr)
+	}
+	return append(addrs, m.peers.knownAddrs()...)
+}
+
+// seedAddrs lists the internal addresses of the seeds.
+func (m *membershipManager) seedAddrs() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var addrs []string
 	for _, seed := range m.seeds {
 		addrs = append(addrs, m.settings.InternalAddr(seed))
 	}
-	for _, node := range m.relayedNodes {
-		addrs = append(addrs, node.Addr)
-	}
 	return addrs
 }
 
-func (m *membershipManager) setRelayedNodes(nodes []transport.ControlNode) {
+// announcedCore returns the members of the group as a relay or an announcer named them last.
+func (m *membershipManager) announcedCore() []transport.ControlNode {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.announcedNodes
+}
+
+// setAnnouncedNodes takes the members of the group as a relay or an announcer names them. The
+// list must not be modified afterwards.
+func (m *membershipManager) setAnnouncedNodes(nodes []transport.ControlNode) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.relayedNodes = nodes
+	m.announcedNodes = nodes
 }
 
 func (m *membershipManager) setSeeds(seeds []string) {
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"lichentray/coordination"
+	"lichentray/internal/discovery"
 	"lichentray/raft"
 	"lichentray/registry"
 )
@@ -20,6 +21,7 @@
 	proposer  *proposer
 	server    *connectionServer
 	watches   *watchServer
+	announcer *discovery.Announcer
 
 	membership  *membershipManager
 	health      *healthMonitor
@@ -38,6 +40,7 @@
 func (n *Node) run(listener net.Listener, state *loopState) {
 	n.start(func() { n.server.acceptConnections(listener) })
 	n.start(n.writer.run)
+	n.start(func() { n.announcer.Run(n.ctx) })
 	n.start(func() { n.loop.run(state, n.tick, n.processReady) })
 }
 
--- a/internal/controlplane/peer_pool.go
+++ b/internal/controlplane/peer_pool.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +86,13 @@
 	}
 }
 
+// knownAddrs lists the addresses at which members have been reached or have said to be reached.
+func (p *peerPool) knownAddrs() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Values(p.addrByID))
+}
+
 // rememberZone records in which zone the node at an address is.
 func (p *peerPool) rememberZone(addr, zone string) {
 	p.mu.Lock()
--- a/internal/controlplane/start.go
+++ b/internal/controlplane/start.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"lichentray/internal/discovery"
 	"lichentray/internal/metrics"
 	"lichentray/internal/settings"
 	"lichentray/internal/storage"
@@ -262,6 +263,14 @@
 		reports:     n.reports,
 		watches:     n.watches,
 	}
+	n.announcer = discovery.NewAnnouncer(discovery.AnnouncerConfig{
+		NodeName:      n.settings.NodeName,
+		OwnAddr:       n.self.Addr,
+		ContactWindow: n.settings.Bounds.ContactWindow.Duration(),
+		SeedAddrs:     n.membership.seedAddrs,
+		Core:          n.watches.upToDateCore,
+		Metrics:       n.metrics.registry,
+	})
 }
 
 // joinCallbacks connects the parts that report to consensus or to the membership.
@@ -270,7 +279,7 @@
 	n.writer.reportPersisted = func(index, term uint64) {
 		n.loop.post(func(state *loopState) { state.raft.ReportPersisted(index, term) })
 	}
-	n.peers.onControlNodes = n.membership.setRelayedNodes
+	n.peers.onControlNodes = n.membership.setAnnouncedNodes
 	n.peers.onLogReconnected = func(addr string) {
 		n.loop.post(func(state *loopState) { reportReconnected(state, addr) })
 	}
--- a/internal/controlplane/watch_server.go
+++ b/internal/controlplane/watch_server.go
@@ -322,6 +322,15 @@
 	return nodes
 }
 
+// upToDateCore lists the members of the group, or nothing while this node cannot vouch for
+// them.
+func (w *watchServer) upToDateCore() []transport.ControlNode {
+	if !w.consensus.isUpToDate() {
+		return nil
+	}
+	return w.controlNodes()
+}
+
 // newBookmark returns a bookmark at the newest revision, with what the leader sums up.
 func (w *watchServer) newBookmark(proxyName string) *transport.Bookmark {
 	summary := w.getSummary()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,9 +1,10 @@
-// Package discovery chooses control-plane nodes to connect to.
+// Package discovery is how processes find the control plane's core.
 //
 // A process that follows the control plane knows the seed nodes of its settings and, once it has
 // followed a node, the members of the core with their zones. A Locator holds both and ranks them
 // by locality. It does not connect to any: the proxy and the relay do, and pass the members that
-// bookmarks list to UpdateNodes.
+// bookmarks list to UpdateNodes. In the other direction an Announcer, at the nodes that know the
+// core, tells it to the seed nodes that do not belong to it.
 package discovery
 
 import (
@@ -23,8 +24,10 @@
 	ownAddr string
 
 	mu    sync.Mutex
-	seeds []string                // API addresses
-	nodes []transport.ControlNode // members of the core; never modified, only replaced
+	seeds []string // API addresses
+	// nodes are the members of the core as a node that was followed, or a referral, named them
+	// last, and announced those of the last announcement. Neither is ever modified, only replaced.
+	nodes, announced []transport.ControlNode
 }
 
 // NewLocator returns a locator that knows the seed nodes of the settings only. Its own location is
@@ -55,13 +58,33 @@
 	l.nodes = nodes
 }
 
-// Nodes returns the members of the core, or nothing before the first update.
+// Announce takes the members of the core as an Announcer named them. They are candidates beside
+// all others: what a node named that was followed may be newer. The caller must not modify the
+// list afterwards.
+func (l *Locator) Announce(nodes []transport.ControlNode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.announced = nodes
+}
+
+// Nodes returns the members of the core, as far as they are known: those that a followed node
+// named or, before the first of these, those that were announced.
 func (l *Locator) Nodes() []transport.ControlNode {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.nodes) == 0 {
+		return slices.Clone(l.announced)
+	}
 	return slices.Clone(l.nodes)
 }
 
+// announcedNodes returns the members of the core of the last announcement.
+func (l *Locator) announcedNodes() []transport.ControlNode {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.announced
+}
+
 // APIAddress returns the API address of the member with an internal address, or "" if no such
 // member is known.
 func (l *Locator) APIAddress(internalAddr string) string {
@@ -75,22 +98,31 @@
 
 // Candidates returns the internal addresses of all known nodes in the order in which to connect:
 // the nearest first, those at the same distance in random order, seed nodes of unknown location
-// after all members. The address avoid comes last if it is known.
+// after all members. Then comes the address at which a control-plane node on this machine would
+// be, if there is one: it helps where no seed node runs. The address avoid comes last if it is
+// known.
 func (l *Locator) Candidates(avoid string) []string {
-	candidates := l.Nodes()
+	var candidates []transport.ControlNode
 	isKnown := map[string]bool{}
-	for _, node := range candidates {
-		isKnown[node.Addr] = true
-	}
-	for _, addr := range l.seedAddrs() {
-		if !isKnown[addr] {
-			isKnown[addr] = true
-			candidates = append(candidates, transport.ControlNode{Addr: addr})
+	add := func(node transport.ControlNode) {
+		if !isKnown[node.Addr] {
+			isKnown[node.Addr] = true
+			candidates = append(candidates, node)
 		}
 	}
+	for _, node := range slices.Concat(l.Nodes(), l.announcedNodes()) {
+		add(node)
+	}
+	for _, addr := range l.SeedAddrs() {
+		add(transport.ControlNode{Addr: addr})
+	}
+	isOwnKnown := isKnown[l.ownAddr]
 	candidates = slices.DeleteFunc(candidates, func(node transport.ControlNode) bool { return node.Addr == avoid })
 	addrs := l.sortByDistance(candidates)
-	if isKnown[avoid] {
+	if !isOwnKnown && l.ownAddr != avoid {
+		addrs = append(addrs, l.ownAddr)
+	}
+	if isKnown[avoid] || avoid == l.ownAddr {
 		addrs = append(addrs, avoid)
 	}
 	return addrs
@@ -148,8 +180,8 @@
 	return locationUnknown
 }
 
-// seedAddrs returns the internal addresses of the seed nodes.
-func (l *Locator) seedAddrs() []string {
+// SeedAddrs returns the internal addresses of the seed nodes.
+func (l *Locator) SeedAddrs() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	addrs := make([]string, len(l.seeds))
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -19,9 +19,17 @@
 		SeedNodes:    []string{"10.0.0.3:1", "10.0.0.9:1"},
 	}
 	locator := NewLocator(set)
-	if got := locator.Candidates(""); len(got) != 2 || locator.HasNearer(got[0]) {
-		t.Errorf("with seeds alone: %v", got)
+	if got := locator.Candidates(""); len(got) != 3 || got[2] != "10.0.0.1:77" || locator.HasNearer(got[0]) {
+		t.Errorf("with seeds alone, and then this machine: %v", got)
 	}
+	if got := locator.Candidates("10.0.0.1:77"); len(got) != 3 || got[2] != "10.0.0.1:77" {
+		t.Errorf("with seeds alone, this machine to be avoided: %v", got)
+	}
+	locator.Announce([]transport.ControlNode{{Addr: "10.0.0.7:77", Zone: "b1"}})
+	if got := fmt.Sprint(locator.Nodes(), locator.Candidates("")[0]); got != "[{10.0.0.7:77  b1}]10.0.0.7:77" {
+		t.Errorf("with an announcement: %s", got)
+	}
+	locator.Announce([]transport.ControlNode{{Addr: "10.0.0.3:77"}, {Addr: "10.0.0.4:77"}})
 	locator.UpdateNodes([]transport.ControlNode{
 		{Addr: "10.0.0.4:77", Zone: "b1"},
 		{Addr: "10.0.0.3:77", API: "10.0.0.3:1", Zone: "a2"},
@@ -35,4 +43,9 @@
 	if locator.HasNearer("10.0.0.1:77") || !locator.HasNearer("10.0.0.3:77") || locator.APIAddress("10.0.0.3:77") != "10.0.0.3:1" {
 		t.Error("what lies nearer, or how callers reach a node, is wrong")
 	}
+	// An announcement adds candidates. It does not replace what a followed node named.
+	locator.Announce([]transport.ControlNode{{Addr: "10.0.0.8:77", Zone: "b1"}, {Addr: "10.0.0.2:77"}})
+	if got := locator.Candidates(""); len(got) != 6 || len(locator.Nodes()) != 4 || got[0] != "10.0.0.1:77" || got[1] != "10.0.0.2:77" || got[5] != "10.0.0.9:77" {
+		t.Errorf("with a later announcement: %v", got)
+	}
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -20,6 +20,9 @@
 		candidates := r.locator.Candidates(lastFollowed)
 		hasFollowed := false
 		for _, addr := range candidates {
+			if addr == r.ownAddr {
+				continue
+			}
 			lost := r.followNode(ctx, addr)
 			if r.target.Swap(nil) != nil {
 				hasFollowed = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,8 @@
 // relay is the state of a running relay.
 type relay struct {
 	nodeName string
+	// ownAddr is the internal address of this relay.
+	ownAddr  string
 	timeouts timeouts
 	log      *slog.Logger
 	locator  *discovery.Locator
@@ -56,6 +58,8 @@
 	askedInVain *metrics.Counter
 	// searchesFailed counts the rounds over all known nodes in which none could be followed.
 	searchesFailed *metrics.Counter
+	// announcements counts the announcements of the core that were received.
+	announcements *metrics.Counter
 }
 
 // timeouts are the durations that a relay derives from the settings.
@@ -91,6 +95,7 @@
 	registry := metrics.NewRegistry()
 	return &relay{
 		nodeName:       set.NodeName,
+		ownAddr:        set.InternalAddr(set.IPAddress),
 		timeouts:       newTimeouts(set),
 		log:            log,
 		locator:        discovery.NewLocator(set),
@@ -103,6 +108,7 @@
 		asked:          registry.Counter("relay_asked_for_core_total"),
 		askedInVain:    registry.Counter("relay_asked_for_core_in_vain_total"),
 		searchesFailed: registry.Counter("relay_core_searches_failed_total"),
+		announcements:  registry.Counter("relay_core_announcements_received_total"),
 	}
 }
 
@@ -119,7 +125,7 @@
 	defer calls.Close()
 	// A proxy on this machine connects here to learn whether it shares the link with a
 	// relay, and whoever has only relays for seeds to learn where the core is.
-	internal, err := net.Listen("tcp4", set.InternalAddr(set.IPAddress))
+	internal, err := net.Listen("tcp4", r.ownAddr)
 	if err != nil {
 		return err
 	}
@@ -131,6 +137,7 @@
 	failed := make(chan error, 1)
 	running.Go(func() { r.acceptInternal(internal) })
 	running.Go(func() { r.followNearest(ctx) })
+	running.Go(func() { r.newAnnouncer().Run(ctx) })
 	running.Go(func() { failed <- server.Serve(calls) })
 	for {
 		select {
@@ -155,27 +162,58 @@
 		if err != nil {
 			return
 		}
-		go r.announceCore(conn) // ends when the peer does, or is silent
+		go r.serveInternal(conn) // ends when the peer does, or is silent
 	}
 }
 
-// announceCore sends the addresses of the core to a process that has this relay among its
-// seeds.
-func (r *relay) announceCore(raw net.Conn) {
+// serveInternal serves one connection of the internal protocol.
+func (r *relay) serveInternal(raw net.Conn) {
 	defer raw.Close()
-	conn, _, err := transport.Accept(raw, r.timeouts.silence)
+	conn, hello, err := transport.Accept(raw, r.timeouts.silence)
 	if err != nil {
 		return
 	}
+	if hello.Role == transport.RoleAnnouncer {
+		discovery.ReceiveAnnouncements(conn, r.timeouts.contact, r.learnCore, r.locator.Nodes)
+		return
+	}
+	r.referToCore(conn)
+}
+
+// learnCore takes an announcement of the core.
+func (r *relay) learnCore(nodes []transport.ControlNode) {
+	r.announcements.Inc()
+	r.locator.Announce(nodes)
+}
+
+// newAnnouncer returns the announcer to those seeds that are relays too. It vouches for the core
+// only while a node of it is followed.
+func (r *relay) newAnnouncer() *discovery.Announcer {
+	return discovery.NewAnnouncer(discovery.AnnouncerConfig{
+		NodeName:      r.nodeName,
+		OwnAddr:       r.ownAddr,
+		ContactWindow: r.timeouts.contact,
+		SeedAddrs:     r.locator.SeedAddrs,
+		Core: func() []transport.ControlNode {
+			if r.target.Load() == nil {
+				return nil
+			}
+			return r.locator.Nodes()
+		},
+		Metrics: r.metrics,
+	})
+}
+
+// referToCore sends the addresses of the core to a process that has this relay among its
+// seeds.
+func (r *relay) referToCore(conn *transport.Conn) {
 	nodes := r.locator.Nodes()
 	r.asked.Inc()
 	if len(nodes) == 0 {
 		r.askedInVain.Inc()
 		return
 	}
-	if conn.Send(&transport.Frame{Bookmark: &transport.Bookmark{Control: nodes}}) != nil {
-		return
-	}
+	err := conn.Send(&transport.Frame{Bookmark: &transport.Bookmark{Control: nodes}})
 	// The kernel resets a connection that is closed with unread bytes, and the peer
 	// then loses what was sent. So the peer closes first.
 	for err == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,8 @@
 
 	"lichentray/internal/controlplanetest"
 	"lichentray/internal/daemon"
+	"lichentray/internal/discovery"
+	"lichentray/internal/metrics"
 	"lichentray/internal/relay"
 	"lichentray/internal/settings"
 	"lichentray/internal/transport"
@@ -116,3 +118,57 @@
 		t.Errorf("beside a core without disks: %v", err)
 	}
 }
+
+// An announcement reaches one of two relays. It follows the core that it is told of, and tells
+// the other one, which has no seed but itself. Both forward calls then.
+func TestRelaysPassAnnouncementsOn(t *testing.T) {
+	const core, told, isolated = "127.0.0.31", "127.0.0.32", "127.0.0.33"
+	control, internal := controlplanetest.FreePort(t, core, told, isolated), controlplanetest.FreePort(t, core, told, isolated)
+	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(409) }))
+	defer api.Close()
+	apiAddress := strings.TrimPrefix(api.URL, "http://")
+	startCore(t, core, internal, apiAddress, new(atomic.Bool))
+	for _, ip := range []string{told, isolated} {
+		set := controlplanetest.Settings(t, ip, "", control, internal, []string{isolated}, false)
+		sig := &daemon.Signals{Stop: make(chan struct{}), SettingsChanged: make(chan *settings.Settings)}
+		ended := make(chan error, 1)
+		go func() { ended <- relay.Run(set, slog.New(slog.NewTextHandler(io.Discard, nil)), sig) }()
+		t.Cleanup(func() {
+			close(sig.Stop)
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	announcer := discovery.NewAnnouncer(discovery.AnnouncerConfig{
+		ContactWindow: 6 * time.Second,
+		SeedAddrs:     func() []string { return []string{fmt.Sprintf("%s:%d", told, internal)} },
+		Core: func() []transport.ControlNode {
+			return []transport.ControlNode{{Addr: fmt.Sprintf("%s:%d", core, internal), API: apiAddress}}
+		},
+		Metrics: metrics.NewRegistry(),
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		announcer.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	for _, ip := range []string{told, isolated} {
+		status := 0
+		for end := time.Now().Add(20 * time.Second); status != 409 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			r, err := http.Post(fmt.Sprintf("http://%s:%d/api/rpc?call=locks.begin&of=l", ip, control), "application/json", strings.NewReader("{}"))
+			if err == nil {
+				r.Body.Close()
+				status = r.StatusCode
+			}
+		}
+		if status != 409 {
+			t.Errorf("%s never forwarded a call: %d", ip, status)
+		}
+	}
+}
--- a/internal/transport/messages.go
+++ b/internal/transport/messages.go
@@ -26,6 +26,9 @@
 	// RoleRelay is a control-plane node without a disk, which forwards calls to a node of
 	// the core and holds no state.
 	RoleRelay
+	// RoleAnnouncer is a control-plane node that knows the core and tells a seed node where it
+	// is: it sends bookmarks of which only Control is set, and each is answered with one.
+	RoleAnnouncer
 )
 
 // String returns the role in lower case.
@@ -37,6 +40,8 @@
 		return "proxy"
 	case RoleRelay:
 		return "relay"
+	case RoleAnnouncer:
+		return "announcer"
 	}
 	return "role(" + strconv.Itoa(int(r)) + ")"
 }
