Proxy: work ends with the client that asked for it

A request whose client had left kept its place in the queue, was attempted, retried and run to its end or deadline. Where endpoints are slow, most of the work is for nobody.

Change: a departureWatcher looks at the connections of requests in progress each 100 ms (MSG_PEEK; TCP_INFO behind pipelined bytes), and before each attempt. On a departure a queued request leaves the queue, an attempt that may be repeated and every streamed response is broken off, and no other attempt begins. The run of a request that may run once goes on. Such an end is no evidence against an endpoint or a version (before, an upload that a client gave up counted as broken in a roll-out).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -51,7 +51,18 @@
 		t.conns.put(conn) // nothing was sent on it
 		return outcome{phase: phaseUnsent, err: errDeadlineExceeded}
 	}
+	client := &f.request.client
+	if !client.attach(conn, f.request.route.Idempotent) {
+		t.conns.put(conn) // nothing was sent on it
+		return outcome{phase: phaseUnsent, err: errClientAborted}
+	}
 	o := f.roundTrip(conn, t.endpoint.ID, now)
+	if o.phase == phaseStreaming {
+		client.allowBreakOff()
+	} else if client.detach() {
+		conn.close()
+		return outcome{phase: max(phasePartlySent, min(o.phase, phaseSent)), err: errClientAborted}
+	}
 	o.isStale = conn.isReused() && o.phase <= phaseSent && isConnectionClosed(o.err)
 	o.idleFor = conn.idleFor
 	switch {
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"lichentray/internal/metrics"
 	"lichentray/registry"
 )
 
@@ -215,3 +216,109 @@
 		}
 	}
 }
+
+// TestRunThatMayRunOnceGoesOnWithoutClient: an endpoint's work on a request that may run once is
+// not broken off when the client leaves, and neither is any while the client stays, be it that it
+// has sent its next request already.
+func TestRunThatMayRunOnceGoesOnWithoutClient(t *testing.T) {
+	endpoint := newSlowEndpoint(t, "")
+	p, f := startPatientProxy(t, 4, endpoint)
+	leaving := sendAndStay(t, f, slowRequest("POST", "/once/leaving"))
+	receivePath(t, endpoint.started, "the first request")
+	patient := sendAndStay(t, f, slowRequest("GET", "/safe/a")+slowRequest("GET", "/safe/b"))
+	receivePath(t, endpoint.started, "the second request")
+	leaving.Close()
+	awaitCondition(t, "the departure is noticed", func() bool { return p.departures.departures.Value() == 1 })
+	for range maxSweepsAfterDeparture { // further ones notice nothing
+		seen := p.departures.sweeps.Value()
+		awaitCondition(t, "a sweep", func() bool { return p.departures.sweeps.Value() > seen })
+	}
+	if len(endpoint.ended) > 0 {
+		t.Fatalf("the work on %s was broken off", <-endpoint.ended)
+	}
+	for range 2 {
+		endpoint.answer <- okResponse("done")
+	}
+	receivePath(t, endpoint.started, "the third request, behind the answer to the second")
+	endpoint.answer <- okResponse("done")
+	reader := bufio.NewReader(patient)
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != 200 {
+			t.Fatalf("the client that stayed got %+v, %v", response, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body) // it is short
+	}
+	awaitCondition(t, "the end of the request whose client has left", func() bool { return openConnections(f) == 1 })
+	if p.departures.cut.Value() != 0 || p.departures.violations.Value() != 0 {
+		t.Errorf("%d attempts cut, %d violations", p.departures.cut.Value(), p.departures.violations.Value())
+	}
+}
+
+// TestWorkForDepartedClientIsAViolation: the watcher counts a request that is still in progress
+// some sweeps after its client has left, once, unless an endpoint must not be interrupted.
+func TestWorkForDepartedClientIsAViolation(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		begin      func(*departure)
+		violations int64
+	}{
+		{"nothing keeps it", func(*departure) {}, 1},
+		{"an attempt that was broken off", func(d *departure) { d.attach(newTestUpstream(t), true) }, 1},
+		{"an attempt that must go on", func(d *departure) { d.attach(newTestUpstream(t), false) }, 0},
+		{"it has ended", func(d *departure) { d.end() }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newDepartureWatcher(metrics.NewRegistry())
+			client, server := newConnectionPair(t)
+			d := &departure{conn: newClientConn(server).probe}
+			w.watch(d)
+			c.begin(d)
+			client.Close()
+			awaitCondition(t, "the end is seen", func() bool {
+				d.check()
+				return d.hasLeft() || d.isEnded
+			})
+			for range 2 * maxSweepsAfterDeparture {
+				d.sweep()
+			}
+			if got := w.violations.Value(); got != c.violations {
+				t.Errorf("%d violations, want %d", got, c.violations)
+			}
+			if d.hasLeft() && d.attach(newTestUpstream(t), true) {
+				t.Error("an attempt began for a client that has left")
+			}
+			d.end()
+		})
+	}
+}
+
+// newConnectionPair returns both ends of a connection over the loopback.
+func newConnectionPair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err = net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		client.Close()
+		server.Close()
+	})
+	return client, server
+}
+
+// newTestUpstream returns a connection to an endpoint that does nothing.
+func newTestUpstream(t *testing.T) *upstreamConn {
+	t.Helper()
+	client, _ := newConnectionPair(t)
+	return &upstreamConn{tcp: client.(*net.TCPConn)}
+}
--- a/internal/proxy/forwarding.go
+++ b/internal/proxy/forwarding.go
@@ -91,7 +91,7 @@
 		return target{}
 	}
 	wait := min(f.request.route.TargetLatency/targetWaitDivisor, remaining/remainingWaitDivisor)
-	t := f.service.acquireForGroup(f.proxy, f.rank, wait, f.group, f.isSkipped)
+	t := f.service.acquireForGroup(f.proxy, f.rank, queueWait{limit: wait, client: &f.request.client}, f.group, f.isSkipped)
 	f.group = t.group
 	return t
 }
@@ -139,14 +139,19 @@
 func (f *forwarding) recordError(o *outcome, t target) {
 	p := f.proxy
 	f.reason = o.err.Error()
-	t.watch.recordBroken(o, time.Now().Before(f.request.deadline))
+	hasClientAborted := errors.Is(o.err, errClientAborted)
+	if hasClientAborted {
+		t.watch.stop()
+	} else {
+		t.watch.recordBroken(o, time.Now().Before(f.request.deadline))
+	}
 	if o.isStale {
 		// Whether the endpoint itself has ended shows at the next connection.
 		p.counters.staleConnections.Inc()
 		f.service.noteStaleConnection(p.now(), o.idleFor, p.timeouts.ejectionMax)
 		t.conns.closeIdle()
 	}
-	isBlameless := o.isStale || errors.Is(o.err, errDeadlineExceeded) || errors.Is(o.err, errClientAborted)
+	isBlameless := o.isStale || errors.Is(o.err, errDeadlineExceeded) || hasClientAborted
 	f.service.releaseEndpoint(p, t.endpoint, isBlameless, 0)
 	if errors.Is(o.err, errInvalidResponse) {
 		p.counters.invalidResponses.Inc()
@@ -180,9 +185,27 @@
 	f.group = f.service.retryVersionGroup(f.group, true)
 }
 
+// statusClientClosedRequest is recorded for a request whose client has left. No client receives it.
+const statusClientClosedRequest = 499
+
+// abandon ends a request whose client has left. There is nobody to answer. What may have been
+// executed once is recorded, as the client cannot know it.
+func (f *forwarding) abandon() {
+	q := f.request
+	if !q.route.Idempotent {
+		f.proxy.recordAttempt(q, f.auditKind(), statusClientClosedRequest)
+	}
+	q.ctx.SetStatusCode(statusClientClosedRequest)
+	q.ctx.SetConnectionClose()
+}
+
 // fail answers the client with the error of the last decision.
 func (f *forwarding) fail() {
 	q := f.request
+	if q.client.hasLeft() {
+		f.abandon()
+		return
+	}
 	kind := f.decision.errorKind
 	q.stats.countError(kind)
 	f.proxy.recordAttempt(q, f.auditKind(), kind.Status())
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -12,6 +13,7 @@
 	"lichentray/config"
 	"lichentray/internal/api"
 	"lichentray/internal/settings"
+	"lichentray/internal/transport"
 )
 
 const (
@@ -62,7 +64,7 @@
 		if err != nil {
 			return // an error of a listener of api.Listen is that it was closed
 		}
-		go f.serveConn(f.serverForLimits(), &clientConn{Conn: conn})
+		go f.serveConn(f.serverForLimits(), newClientConn(conn))
 	}
 }
 
@@ -192,9 +194,21 @@
 // as no request waits for one.
 type clientConn struct {
 	net.Conn
+	// probe looks whether the client has left; nil if the connection is no socket.
+	probe       *transport.PeerProbe
 	hasSentData bool
 }
 
+func newClientConn(conn net.Conn) *clientConn {
+	c := &clientConn{Conn: conn}
+	if socket, ok := conn.(syscall.Conn); ok {
+		if rawConn, err := socket.SyscallConn(); err == nil {
+			c.probe = transport.NewPeerProbe(rawConn)
+		}
+	}
+	return c
+}
+
 // Read implements io.Reader.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -45,28 +45,48 @@
 	q.service = snapshot.services[q.route.PickService(rand.Float64())]
 	q.stats = snapshot.routeStats[q.route.Index]
 	q.regionMask = snapshot.regionMasks[q.route.Index]
-	p.forward(&q)
+	p.watchClient(&q)
+	if !p.forward(&q) {
+		q.client.end()
+	}
+}
+
+// watchClient begins to watch whether the client leaves.
+func (p *Proxy) watchClient(q *request) {
+	conn, ok := q.ctx.Conn().(*clientConn)
+	if !ok || conn.probe == nil {
+		return
+	}
+	q.client.conn = conn.probe
+	p.departures.watch(&q.client)
 }
 
-// forward attempts a request at one endpoint after the other until one answers or nothing
-// more may be attempted.
-func (p *Proxy) forward(q *request) {
+// forward attempts a request at one endpoint after the other until one answers, nothing more
+// may be attempted, or the client has left. It reports whether the response streams: the request
+// then ends with the stream.
+func (p *Proxy) forward(q *request) (isStreaming bool) {
 	f := p.admit(q)
 	for {
+		// The client may have left while the request waited to be read.
+		q.client.check()
+		if q.client.hasLeft() {
+			f.abandon()
+			return false
+		}
 		t := f.pick()
 		if t.endpoint == nil {
 			f.fail()
-			return
+			return false
 		}
 		o := f.attempt(t)
 		switch f.decide(&o, t) {
 		case actionRetry:
 		case actionRelay:
 			p.relayResponse(q, t, o)
-			return
+			return o.phase == phaseStreaming
 		case actionFail:
 			f.fail()
-			return
+			return false
 		}
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 	startedAt    time.Time
 	controlNodes *discovery.Locator
 	pacer        *pacer
+	departures   *departureWatcher
 	// audit is nil if the settings ask for no audit log.
 	audit *auditRecorder
 
@@ -82,6 +83,7 @@
 		startedAt:    time.Now(),
 		controlNodes: discovery.NewLocator(set),
 		pacer:        newPacer(set.Limits.BandwidthMbps),
+		departures:   newDepartureWatcher(registry),
 		audit:        newAuditRecorder(set, registry),
 		firstConfig:  make(chan struct{}),
 		regionIndex:  indexRegions(set.RegionByZone),
--- a/internal/proxy/queue.go
+++ b/internal/proxy/queue.go
@@ -99,9 +99,17 @@
 	return queueRank{priority: priority, recentRequests: n / requestsPerRank}
 }
 
-// acquireEndpoint reserves an endpoint, for which it waits up to maxWait in the order of
-// ranks. A wait that cannot end in time is not begun. It returns nil if there is none.
-func (s *service) acquireEndpoint(p *Proxy, rank queueRank, maxWait time.Duration, skip func(*loadbalance.Endpoint) bool) (*loadbalance.Endpoint, *connPool) {
+// queueWait is how long a request waits for an endpoint.
+type queueWait struct {
+	// limit is the longest wait; 0 for none.
+	limit time.Duration
+	// client ends the wait when it leaves.
+	client *departure
+}
+
+// acquireEndpoint reserves an endpoint, for which it waits in the order of ranks. A wait that
+// cannot end in time is not begun. It returns nil if there is none.
+func (s *service) acquireEndpoint(p *Proxy, rank queueRank, wait queueWait, skip func(*loadbalance.Endpoint) bool) (*loadbalance.Endpoint, *connPool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ahead := s.queue.ahead(rank)
@@ -112,30 +120,37 @@
 			return e, s.connPools[e]
 		}
 	}
-	if maxWait <= 0 || ahead > max(limit, minQueueLimit)/2 {
+	if wait.limit <= 0 || ahead > max(limit, minQueueLimit)/2 {
 		return nil, nil
 	}
 	w := s.queue.push(rank)
-	e := s.awaitEndpoint(p, w, maxWait, skip)
+	e := s.awaitEndpoint(p, w, wait, skip)
 	s.queue.remove(w)
 	s.queue.wakeFirst()
 	return e, s.connPools[e]
 }
 
 // awaitEndpoint picks an endpoint whenever the waiter is woken, and for the last time
-// when maxWait is over. The caller has the lock, which is released in between.
-func (s *service) awaitEndpoint(p *Proxy, w *waiter, maxWait time.Duration, skip func(*loadbalance.Endpoint) bool) *loadbalance.Endpoint {
-	timer := time.NewTimer(maxWait)
+// when the wait is over. It returns nil if the client leaves. The caller has the lock, which is
+// released in between.
+func (s *service) awaitEndpoint(p *Proxy, w *waiter, wait queueWait, skip func(*loadbalance.Endpoint) bool) *loadbalance.Endpoint {
+	timer := time.NewTimer(wait.limit)
 	defer timer.Stop()
+	left := wait.client.whenLeft()
 	for {
 		s.mu.Unlock()
-		isOver := false
+		isOver, hasLeft := false, false
 		select {
+		case <-left:
+			hasLeft = true
 		case <-w.wake:
 		case <-timer.C:
 			isOver = true
 		}
 		s.mu.Lock()
+		if hasLeft {
+			return nil
+		}
 		if e, _ := s.pickEndpoint(p.now(), skip); e != nil || isOver {
 			return e
 		}
--- a/internal/proxy/queue_test.go
+++ b/internal/proxy/queue_test.go
@@ -12,7 +12,7 @@
 	p, _ := startProxy(t, e)
 	s := p.services["s"]
 	s.pool.SetMaxConnections(1) // one request at a time
-	busy, _ := s.acquireEndpoint(p, queueRank{}, 0, nil)
+	busy, _ := s.acquireEndpoint(p, queueRank{}, queueWait{}, nil)
 	if busy == nil {
 		t.Fatal("no free place at the start")
 	}
@@ -24,7 +24,7 @@
 	order := make(chan string, 3)
 	enter := func(name string, r queueRank, queued int) {
 		go func() {
-			got, _ := s.acquireEndpoint(p, r, 20*time.Second, nil)
+			got, _ := s.acquireEndpoint(p, r, queueWait{limit: 20 * time.Second, client: &departure{}}, nil)
 			order <- name
 			s.releaseEndpoint(p, got, true, 0)
 		}()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -54,6 +54,8 @@
 	startedAt time.Time
 	deadline  time.Time
 	isHead    bool
+	// client is whether the client has left.
+	client departure
 }
 
 // read reads and checks a request and finds its route. It appends the head to forward to
--- a/internal/proxy/responsestream.go
+++ b/internal/proxy/responsestream.go
@@ -41,7 +41,8 @@
 	if errors.Is(err, io.EOF) && !s.isComplete() {
 		err = io.ErrUnexpectedEOF // the client must not take a truncated body as complete
 	}
-	s.endpointFailed = err != nil && !errors.Is(err, io.EOF) && time.Until(s.request.deadline) > 0
+	s.endpointFailed = err != nil && !errors.Is(err, io.EOF) &&
+		time.Until(s.request.deadline) > 0 && !s.request.client.hasLeft()
 	s.proxy.pacer.wait(n, s.response.contentLength-s.received, s.request.deadline)
 	return n, err
 }
@@ -51,7 +52,9 @@
 
 // Close ends the exchange, complete or not. It implements io.Closer.
 func (s *responseStream) Close() error {
-	if s.isComplete() {
+	defer s.request.client.end()
+	wasBrokenOff := s.request.client.detach()
+	if s.isComplete() && !wasBrokenOff {
 		s.proxy.recordResponse(s.request, s.response.status)
 		s.proxy.recycleConnection(s.conns, s.conn, s.response)
 		return nil
