--- a/internal/api/evacuations.go
+++ b/internal/api/evacuations.go
@@ -1,13 +1,5 @@
 package api
 
-import (
-	"syscall"
-
-	"github.com/valyala/fasthttp"
-
-	"lichentray/internal/transport"
-)
-
 // evacuationsAnswer holds the states of the zones that are not in ordinary use.
 type evacuationsAnswer struct {
 	Zones map[string]string `json:"zones"`
@@ -27,18 +19,7 @@
 	if err := requireName(c.name); err != nil {
 		return err
 	}
-	return h.node.Evacuate(c.name, begin, func() bool { return callerIsWaiting(c.ctx) })
-}
-
-// callerIsWaiting reports that the connection of a call is still open, so that its caller may wait
-// for the answer.
-func callerIsWaiting(ctx *fasthttp.RequestCtx) bool {
-	conn, ok := ctx.Conn().(syscall.Conn)
-	if !ok {
-		return true // not a socket, as in tests
-	}
-	rawConn, err := conn.SyscallConn()
-	return err == nil && transport.IsIdle(rawConn)
+	return h.node.Evacuate(c.name, begin, newCallerCheck(c.ctx))
 }
 
 // listEvacuations answers with the states of the zones that are not in ordinary use.
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -34,8 +34,9 @@
 	// Cell returns a cell, or an error of the kind NotFound.
 	Cell(name string) (coordination.Cell, error)
 	// Watch waits, for wait at most, for writes to cells of a group whose revisions are
-	// above after. It returns them in order, and the revision that they reach up to.
-	Watch(group string, after uint64, wait time.Duration) ([]coordination.Event, uint64, error)
+	// above after. It returns them in order, and the revision that they reach up to. It gives up
+	// if callerIsWaiting returns false.
+	Watch(group string, after uint64, wait time.Duration, callerIsWaiting func() bool) ([]coordination.Event, uint64, error)
 	// Evacuate begins or finishes the evacuation of a zone. It gives up if callerIsWaiting
 	// returns false, as a caller that is gone repeats the order at another node.
 	Evacuate(zone string, begin bool, callerIsWaiting func() bool) error
--- a/internal/api/handler_test.go
+++ b/internal/api/handler_test.go
@@ -85,7 +85,7 @@
 	return n.result, n.err
 }
 
-func (n *fakeNode) Watch(group string, after uint64, _ time.Duration) ([]coordination.Event, uint64, error) {
+func (n *fakeNode) Watch(group string, after uint64, _ time.Duration, _ func() bool) ([]coordination.Event, uint64, error) {
 	return []coordination.Event{{Name: group + "a", Value: "x", Revision: after + 1}}, after + 1, n.err
 }
 
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -54,9 +54,10 @@
 // returns them and the group's newest revision, or no events once the time-out has
 // passed; with after 0 it returns the newest revision at once. The kinds of error are
 // RevisionExpired if the history no longer reaches back to after, BadRequest if after
-// is above the newest revision, Overloaded, and Unavailable.
-func (n *Node) Watch(group string, after uint64, timeout time.Duration) ([]coordination.Event, uint64, error) {
-	return n.groups.watch(group, after, timeout)
+// is above the newest revision, Overloaded, and Unavailable, which is also the end of a watch
+// for which callerIsWaiting reports false.
+func (n *Node) Watch(group string, after uint64, timeout time.Duration, callerIsWaiting func() bool) ([]coordination.Event, uint64, error) {
+	return n.groups.watch(group, after, timeout, callerIsWaiting)
 }
 
 // Evacuate carries out an order to evacuate a zone (begin) or to return it to use.
--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -74,6 +74,9 @@
 	c.t.Fatal(err)
 }
 
+// stays is the check of a caller that does not leave.
+func stays() bool { return true }
+
 // eventually waits until ok reports true, far longer than that takes.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
--- a/internal/controlplane/group_watchers.go
+++ b/internal/controlplane/group_watchers.go
@@ -91,7 +91,7 @@
 }
 
 // watch waits for puts in a group, see Node.Watch.
-func (g *groupWatchers) watch(group string, after uint64, timeout time.Duration) ([]coordination.Event, uint64, error) {
+func (g *groupWatchers) watch(group string, after uint64, timeout time.Duration, callerIsWaiting func() bool) ([]coordination.Event, uint64, error) {
 	if err := g.proposer.readIndex(g.timing.RequestTimeout); err != nil {
 		return nil, 0, err
 	}
@@ -107,13 +107,14 @@
 		return nil, 0, err
 	}
 	defer unsubscribe()
-	return g.awaitEvents(group, after, timeout, woken)
+	return g.awaitEvents(group, after, timeout, woken, callerIsWaiting)
 }
 
 // awaitEvents returns the events of a group above a revision, as soon as there are any,
 // or none after the time-out. A node that loses contact ends the wait, as it may
-// not hear of further puts.
-func (g *groupWatchers) awaitEvents(group string, after uint64, timeout time.Duration, woken <-chan struct{}) ([]coordination.Event, uint64, error) {
+// not hear of further puts, and so does a caller that leaves: it would keep its place among
+// the bounded number of those that wait.
+func (g *groupWatchers) awaitEvents(group string, after uint64, timeout time.Duration, woken <-chan struct{}, callerIsWaiting func() bool) ([]coordination.Event, uint64, error) {
 	end := time.NewTimer(timeout)
 	defer end.Stop()
 	check := time.NewTicker(g.timing.ElectionTimeout / 2)
@@ -134,6 +135,10 @@
 			if !g.consensus.isUpToDate() || g.isStopping.Load() {
 				return nil, 0, apierror.New(apierror.Unavailable, "this node has lost contact with the group")
 			}
+			if !callerIsWaiting() {
+				g.metrics.watchesAbandoned.Inc()
+				return nil, 0, apierror.New(apierror.Unavailable, "the caller has left")
+			}
 		case <-g.ctx.Done():
 			return nil, 0, errStopping
 		}
--- a/internal/controlplane/group_watchers_test.go
+++ b/internal/controlplane/group_watchers_test.go
@@ -1,10 +1,14 @@
 package controlplane
 
 import (
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"lichentray/coordination"
 	"lichentray/internal/apierror"
 	"lichentray/internal/settings"
+	"lichentray/registry"
 )
 
 // TestGroupWatchersAreBounded: waiting watches take a quarter of the descriptors at
@@ -39,3 +43,32 @@
 		t.Errorf("after one has ended: %v", err)
 	}
 }
+
+// TestWatchEndsWhenCallerLeaves: a watch whose caller has left ends long before its time, and gives
+// back its place among those that wait.
+func TestWatchEndsWhenCallerLeaves(t *testing.T) {
+	cluster := newTestCluster(t, 1, nil)
+	node := cluster.nodes[0]
+	put := registry.Command{Coordination: &coordination.Command{Operation: coordination.PutCell, Name: "g.a", Value: "v"}}
+	eventually(t, "a put", func() bool {
+		_, err := node.Propose(put)
+		return err == nil
+	})
+	var hasLeft atomic.Bool
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := node.Watch("g.", 1, time.Hour, func() bool { return !hasLeft.Load() })
+		ended <- err
+	}()
+	waiting := func() int {
+		node.groups.mu.Lock()
+		defer node.groups.mu.Unlock()
+		return node.groups.waiting
+	}
+	eventually(t, "the watch waits", func() bool { return waiting() == 1 })
+	hasLeft.Store(true)
+	eventually(t, "the watch ends", func() bool { return waiting() == 0 })
+	if err := <-ended; apierror.KindOf(err) != apierror.Unavailable || node.metrics.watchesAbandoned.Value() != 1 {
+		t.Errorf("the watch ended with %v, %d abandoned", err, node.metrics.watchesAbandoned.Value())
+	}
+}
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -23,6 +23,7 @@
 	configsDeferred  *metrics.Counter
 	configConflicts  *metrics.Counter
 	heartbeats       *metrics.Counter
+	watchesAbandoned *metrics.Counter // by their callers
 	endpointsRemoved *metrics.Counter
 	appliedIndex     *metrics.Counter // a gauge
 }
@@ -45,6 +46,7 @@
 		configsDeferred:  r.Counter("configurations_deferred_total"),
 		configConflicts:  r.Counter("configuration_conflicts_total"),
 		heartbeats:       r.Counter("heartbeats_total"),
+		watchesAbandoned: r.Counter("group_watches_abandoned_total"),
 		endpointsRemoved: r.Counter("endpoints_removed_total"),
 		appliedIndex:     r.Counter("applied_index"),
 	}
--- a/internal/controlplane/node_test.go
+++ b/internal/controlplane/node_test.go
@@ -107,7 +107,7 @@
 		t.Fatal(err)
 	}
 	go func() {
-		events, rev, err := nodes[1].Watch("g.", 1, 20*time.Second)
+		events, rev, err := nodes[1].Watch("g.", 1, 20*time.Second, stays)
 		if err == nil && (len(events) != 1 || events[0].Value != "2" || rev != 2) {
 			err = fmt.Errorf("watch gave %v at %d", events, rev)
 		}
@@ -535,7 +535,7 @@
 	}
 	_, readErr := node.Configuration()
 	_, cellErr := node.Cell("c")
-	_, _, watchErr := node.Watch("g.", 0, time.Second)
+	_, _, watchErr := node.Watch("g.", 0, time.Second, stays)
 	_, numberErr := node.Propose(registry.Command{Coordination: &coordination.Command{Operation: coordination.NextNumber, Name: "n"}})
 	for what, err := range map[string]error{
 		"a configuration is read":     readErr,
