Relay: a forwarded watch ends with its caller

A watch now has its connection for itself (idle ones are kept) and is broken off when the caller leaves. TestWatchEndsWithItsCaller; go test -race ./internal/relay: passed.

--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -8,9 +8,9 @@
 	"lichentray/internal/transport"
 )
 
-// newCallerCheck returns a function that reports whether the connection of a call is still open,
+// NewCallerCheck returns a function that reports whether the connection of a call is still open,
 // so that its caller may wait for the answer.
-func newCallerCheck(ctx *fasthttp.RequestCtx) (callerIsWaiting func() bool) {
+func NewCallerCheck(ctx *fasthttp.RequestCtx) (callerIsWaiting func() bool) {
 	conn, ok := ctx.Conn().(syscall.Conn)
 	if !ok {
 		return func() bool { return true } // not a socket, as in tests
--- a/internal/api/evacuations.go
+++ b/internal/api/evacuations.go
@@ -19,7 +19,7 @@
 	if err := requireName(c.name); err != nil {
 		return err
 	}
-	return h.node.Evacuate(c.name, begin, newCallerCheck(c.ctx))
+	return h.node.Evacuate(c.name, begin, NewCallerCheck(c.ctx))
 }
 
 // listEvacuations answers with the states of the zones that are not in ordinary use.
--- a/internal/api/watch.go
+++ b/internal/api/watch.go
@@ -36,7 +36,7 @@
 		return nil, err
 	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, h.maxWait)
-	events, revision, err := h.node.Watch(coordination.GroupOf(c.name), after, wait, newCallerCheck(c.ctx))
+	events, revision, err := h.node.Watch(coordination.GroupOf(c.name), after, wait, NewCallerCheck(c.ctx))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -88,9 +88,9 @@
 		if !isTarget {
 			isTarget = true
 			r.log.Info("forwarding calls", "to", apiAddress)
-			client := r.newCoreClient(apiAddress)
-			defer client.CloseIdleConnections()
-			r.target.Store(client)
+			target := &coreTarget{address: apiAddress, calls: r.newCoreClient(apiAddress)}
+			defer target.close()
+			r.target.Store(target)
 		}
 		if r.locator.HasNearer(addr) && time.Since(began) > r.timeouts.contact {
 			return false
@@ -112,7 +112,7 @@
 		Addr:                          address,
 		Dial:                          r.dialCore,
 		MaxConns:                      maxCoreConnections,
-		ReadTimeout:                   r.timeouts.watch,
+		ReadTimeout:                   r.timeouts.call,
 		MaxIdemponentCallAttempts:     maxStaleConnections,
 		RetryIfErr:                    retryIfUnsent,
 		NoDefaultUserAgentHeader:      true,
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -32,7 +32,7 @@
 		r.unavailable.Inc()
 		api.WriteError(ctx, apierror.New(apierror.Unavailable, "no core node is in touch"))
 	case mustRedirect(ctx):
-		ctx.Response.Header.Set("Location", "http://"+target.Addr+string(ctx.RequestURI()))
+		ctx.Response.Header.Set("Location", "http://"+target.address+string(ctx.RequestURI()))
 		ctx.SetStatusCode(fasthttp.StatusTemporaryRedirect)
 		r.redirected.Inc()
 	default:
@@ -47,13 +47,14 @@
 
 // forward sends a call to a core node and answers with its answer. A call that may have
 // arrived is never reported as not processed.
-func (r *relay) forward(ctx *fasthttp.RequestCtx, target *fasthttp.HostClient) {
-	timeout := r.timeouts.call
+func (r *relay) forward(ctx *fasthttp.RequestCtx, target *coreTarget) {
+	// The buffers of the caller are used, and only until these return.
+	var err error
 	if bytes.HasPrefix(ctx.Path(), []byte("/api/watch/")) {
-		timeout = r.timeouts.watch
+		err = r.forwardWatch(ctx, target)
+	} else {
+		err = target.calls.DoTimeout(&ctx.Request, &ctx.Response, r.timeouts.call)
 	}
-	// The client uses the buffers of the caller, and only until it returns.
-	err := target.DoTimeout(&ctx.Request, &ctx.Response, timeout)
 	if err != nil {
 		ctx.Response.Reset() // it may contain a part of a response
 	}
@@ -61,6 +62,7 @@
 	switch {
 	case err == nil:
 		r.forwarded.Inc()
+	case errors.Is(err, errCallerLeft): // nobody is to be answered
 	case isUnsent(err):
 		r.unavailable.Inc()
 		api.WriteError(ctx, apierror.New(apierror.Unavailable, "core node cannot be reached"))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"lichentray/internal/api"
 	"lichentray/internal/daemon"
 	"lichentray/internal/discovery"
@@ -43,8 +41,8 @@
 	locator  *discovery.Locator
 	metrics  *metrics.Registry
 
-	// target is the client of the core node that is followed; nil if none is up to date.
-	target atomic.Pointer[fasthttp.HostClient]
+	// target is the core node that is followed; nil if none is up to date.
+	target atomic.Pointer[coreTarget]
 	// coreDiskless is closed when a core node reports that no core machine has a disk.
 	coreDiskless chan struct{}
 
@@ -58,6 +56,8 @@
 	askedInVain *metrics.Counter
 	// searchesFailed counts the rounds over all known nodes in which none could be followed.
 	searchesFailed *metrics.Counter
+	// watchesAbandoned counts the watches that were broken off because their callers had left.
+	watchesAbandoned *metrics.Counter
 	// announcements counts the announcements of the core that were received.
 	announcements *metrics.Counter
 }
@@ -109,6 +109,8 @@
 		askedInVain:    registry.Counter("relay_asked_for_core_in_vain_total"),
 		searchesFailed: registry.Counter("relay_core_searches_failed_total"),
 		announcements:  registry.Counter("relay_core_announcements_received_total"),
+
+		watchesAbandoned: registry.Counter("relay_watches_abandoned_total"),
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -172,3 +172,67 @@
 		}
 	}
 }
+
+// A watch ends at the core node when its caller leaves. One whose caller stays is answered, and the
+// next one uses the same connection.
+func TestWatchEndsWithItsCaller(t *testing.T) {
+	ips := []string{"127.0.0.31", "127.0.0.32"}
+	control, internal := controlplanetest.FreePort(t, ips...), controlplanetest.FreePort(t, ips...)
+	began, ended := make(chan string, 10), make(chan string, 10)
+	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("after") == "0" {
+			fmt.Fprint(w, r.RemoteAddr)
+			return
+		}
+		began <- r.URL.Path
+		<-r.Context().Done()
+		ended <- r.URL.Path
+	}))
+	defer api.Close()
+	startCore(t, ips[0], internal, strings.TrimPrefix(api.URL, "http://"), new(atomic.Bool))
+	set := controlplanetest.Settings(t, ips[1], "", control, internal, []string{ips[0]}, false)
+	sig := &daemon.Signals{Stop: make(chan struct{}), SettingsChanged: make(chan *settings.Settings)}
+	stopped := make(chan error, 1)
+	go func() { stopped <- relay.Run(set, slog.New(slog.NewTextHandler(io.Discard, nil)), sig) }()
+	defer func() {
+		close(sig.Stop)
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	}()
+	get := func(after int) string {
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			r, err := http.Get(fmt.Sprintf("http://%s:%d/api/watch/g.?after=%d&wait_ms=1000", ips[1], control, after))
+			if err != nil {
+				continue
+			}
+			body, _ := io.ReadAll(r.Body)
+			r.Body.Close()
+			if r.StatusCode == 200 {
+				return string(body)
+			}
+		}
+		t.Fatal("no watch was answered")
+		return ""
+	}
+	if first, second := get(0), get(0); first != second {
+		t.Errorf("two watches one after the other came from %s and %s", first, second)
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/api/watch/g.?after=1&wait_ms=1000", ips[1], control), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if r, err := http.DefaultClient.Do(request); err == nil {
+			r.Body.Close()
+		}
+	}()
+	<-began
+	leave()
+	select {
+	case <-ended:
+	case <-time.After(15 * time.Second): // the relay itself waits for 26 s
+		t.Error("the core node still waits for a caller that has left")
+	}
+}
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -28,8 +28,6 @@
 	mu sync.Mutex
 	// disturbed has the nodes that a fault is under way at; no other one begins there.
 	disturbed map[string]bool
-	// isDiskLost: a core node lost its disk and is not known to have caught up.
-	isDiskLost bool
 }
 
 // fault is a kind of fault. It returns when it is over.
