--- a/internal/discovery/announcer.go
+++ b/internal/discovery/announcer.go
@@ -145,7 +145,7 @@
 	minBackoff := a.interval / minAnnouncerBackoffDivisor
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if a.announce(ctx, addr) {
+		if len(a.core()) > 0 && a.announce(ctx, addr) {
 			backoff = minBackoff
 		}
 		select {
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -49,6 +49,7 @@
 	{"seeds changed", (*injector).changeSeeds},
 	{"seeds changed to relays", (*injector).changeSeedsToRelays},
 	{"disk lost", (*injector).loseDisk},
+	{"disk lost in a kill of all", (*injector).loseDiskInKillOfAll},
 }
 
 // run brings about faults for a time, and returns when all are over.
@@ -101,13 +102,18 @@
 		return
 	}
 	defer f.release(nodes...)
+	f.killAtOnce(nodes...)
+	pause(ctx, length)
+	f.start(nodes...)
+}
+
+// killAtOnce kills nodes, all before the first is waited for.
+func (f *injector) killAtOnce(nodes ...node) {
 	var kills sync.WaitGroup
 	for _, n := range nodes {
 		kills.Go(func() { f.cluster.kill(n) })
 	}
 	kills.Wait()
-	pause(ctx, length)
-	f.start(nodes...)
 }
 
 // start starts nodes.
@@ -198,24 +204,37 @@
 	}
 }
 
-// loseDisk empties the disk of a core node while all of the core runs undisturbed, as one lost disk
-// is what the deployment bears. The core stays reserved until the node has caught up.
+// loseDisk kills a core node and empties its disk.
 func (f *injector) loseDisk(ctx context.Context, random *rand.Rand, length time.Duration) {
 	n := pick(random, coreNodes)
-	if !f.claim(coreNodes...) {
-		return
+	if f.claim(coreNodes...) {
+		f.loseDiskAndKill(ctx, length, n, []node{n}, coreNodes)
+	}
+}
+
+// loseDiskInKillOfAll kills everything, and one core node comes back with an empty disk.
+func (f *injector) loseDiskInKillOfAll(ctx context.Context, random *rand.Rand, length time.Duration) {
+	if f.claim(allNodes()...) {
+		f.loseDiskAndKill(ctx, length, pick(random, coreNodes), allNodes(), allNodes())
 	}
-	defer f.release(coreNodes...)
+}
+
+// loseDiskAndKill kills nodes and empties the disk of n, which is one of them. It does so only while
+// all of the core counts, as one lost disk is what the deployment bears. The claimed nodes stay
+// undisturbed until n has caught up, and are released then.
+func (f *injector) loseDiskAndKill(ctx context.Context, length time.Duration, n node, killed, claimed []node) {
+	defer f.release(claimed...)
 	probe, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	if err := f.workload.checkCore(probe); err != nil {
 		return // not all of the core counts now
 	}
+	f.killAtOnce(killed...)
 	if err := f.cluster.wipe(n); err != nil {
 		f.cluster.checks.fail("disk of %s: %v", n.name, err)
 	}
 	pause(ctx, length)
-	f.start(n)
+	f.start(killed...)
 	end := time.Now().Add(recoveryBound)
 	for f.workload.checkCore(context.WithoutCancel(ctx)) != nil {
 		if time.Now().After(end) {
