Proxy: a response to a client that has left without reading is not waited for

With the endpoint's connection its client's write ends now. TestStreamEndsWhenClientLeavesWithoutReading fails without it (20 s bound).

--- a/internal/proxy/departure.go
+++ b/internal/proxy/departure.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 	maxSweepsAfterDeparture = 4
 )
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // departureWatcher notices when clients leave while their requests are in progress: when they
 // close or reset the connection. The HTTP server reads a connection only between two requests and
 // would notice at the end. The watcher looks at all of them at intervals, which costs one system
@@ -99,8 +103,9 @@
 // departure is whether the client of one request has left, and what has to end then. The zero
 // value is of a client that is not watched and never leaves.
 type departure struct {
-	// conn looks at the client's connection; nil if it is not watched.
-	conn *transport.PeerProbe
+	// client is the client's connection and conn looks at it; both are nil if it is not watched.
+	client net.Conn
+	conn   *transport.PeerProbe
 	// watcher and index belong to departureWatcher.
 	watcher *departureWatcher
 	index   int
@@ -160,11 +165,12 @@
 	}
 }
 
-// breakOff ends the attempt in progress, if there is one that ends with the client. The caller
-// has the lock.
+// breakOff ends the attempt in progress, if there is one that ends with the client. A response on
+// its way to a client that does not read it is not waited for either. The caller has the lock.
 func (d *departure) breakOff() {
 	if d.upstream != nil && d.canBreakOff {
 		d.upstream.close()
+		_ = d.client.SetWriteDeadline(longAgo) // fails only if it is closed
 		d.watcher.cut.Inc()
 	}
 }
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -192,6 +192,24 @@
 	}
 }
 
+// TestStreamEndsWhenClientLeavesWithoutReading: a client that closes its side and reads nothing does
+// not hold a long response, which fills the connection.
+func TestStreamEndsWhenClientLeavesWithoutReading(t *testing.T) {
+	const size = 64 << 20
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Signature: s\r\nContent-Length: %d\r\n\r\n", size)
+	endpoint := newSlowEndpoint(t, head+strings.Repeat("x", size))
+	p, f := startPatientProxy(t, 4, endpoint)
+	client := sendAndStay(t, f, slowRequest("GET", "/safe/x"))
+	receivePath(t, endpoint.started, "the request")
+	if err := client.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	awaitCondition(t, "the end of the connection", func() bool { return openConnections(f) == 0 })
+	if p.departures.cut.Value() != 1 {
+		t.Errorf("%d attempts cut", p.departures.cut.Value())
+	}
+}
+
 // TestQueuedRequestIsDroppedWhenClientLeaves: a request that waits for an endpoint leaves the
 // queue with its client, whether it may be repeated or not, and never reaches an endpoint.
 func TestQueuedRequestIsDroppedWhenClientLeaves(t *testing.T) {
@@ -271,7 +289,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			w := newDepartureWatcher(metrics.NewRegistry())
 			client, server := newConnectionPair(t)
-			d := &departure{conn: newClientConn(server).probe}
+			d := &departure{client: server, conn: newClientConn(server).probe}
 			w.watch(d)
 			c.begin(d)
 			client.Close()
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -160,7 +160,7 @@
 	defer f.mu.Unlock()
 	for conn, isBusy := range f.connections {
 		if !isBusy {
-			_ = conn.SetReadDeadline(time.Unix(1, 0)) // a closed connection needs none
+			_ = conn.SetReadDeadline(longAgo) // a closed connection needs none
 		}
 	}
 	return len(f.connections)
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -57,7 +57,7 @@
 	if !ok || conn.probe == nil {
 		return
 	}
-	q.client.conn = conn.probe
+	q.client.client, q.client.conn = conn, conn.probe
 	p.departures.watch(&q.client)
 }
 
