Control plane: a peer that accepts and closes is dialled with a backoff

One that does not last an election time-out backs off now as a rejected one does. The test fails without it (four connections within 2 ms).

The soak now waits until each node votes under its present identity.

--- a/internal/controlplane/peer_connection.go
+++ b/internal/controlplane/peer_connection.go
@@ -161,15 +161,13 @@
 	backoff := shortest
 	for c.ctx.Err() == nil {
 		conn, wasInterrupted, err := c.dial()
-		if err == nil {
-			backoff = shortest
-			c.serve(conn)
-			if c.ctx.Err() == nil {
-				c.setDisconnected()
+		switch {
+		case err == nil:
+			if c.serveUntilBroken(conn) {
+				backoff = shortest
+				continue
 			}
-			continue
-		}
-		if wasInterrupted {
+		case wasInterrupted:
 			continue
 		}
 		select {
@@ -183,6 +181,18 @@
 	}
 }
 
+// serveUntilBroken serves a new connection and marks it as down when it has ended. It reports
+// whether the connection lasted: one that the other end accepts and closes is no better than one
+// that it rejects, as a relay does that knows no core, or a node of another version.
+func (c *peerConnection) serveUntilBroken(conn *transport.Conn) (hasLasted bool) {
+	began := time.Now()
+	c.serve(conn)
+	if c.ctx.Err() == nil {
+		c.setDisconnected()
+	}
+	return time.Since(began) > c.pool.timing.ElectionTimeout
+}
+
 // dial makes one attempt. wasInterrupted reports that it was given up because the peer
 // has connected here meanwhile.
 func (c *peerConnection) dial() (conn *transport.Conn, wasInterrupted bool, err error) {
--- a/internal/controlplane/peer_connection_test.go
+++ b/internal/controlplane/peer_connection_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
+	"time"
 
+	"lichentray/internal/settings"
 	"lichentray/internal/transport"
 )
 
@@ -74,3 +77,39 @@
 		t.Error("the call still waits")
 	}
 }
+
+// TestPeerThatClosesIsNotDialledAtOnce: a peer that accepts each connection and closes it is
+// dialled with a backoff, as one that rejects them.
+func TestPeerThatClosesIsNotDialledAtOnce(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	env := newTestEnvironment(t)
+	env.settings = &settings.Settings{}
+	shortest := 20 * time.Millisecond
+	env.timing.HeartbeatInterval = 2 * shortest
+	env.timing.ElectionTimeout = time.Hour // no connection lasts
+	env.timing.ConnectionTimeout = time.Hour
+	connection := newPeerConnection(context.Background(), newPeerPool(env), listener.Addr().String(), false)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		connection.run()
+	}()
+	began := time.Now()
+	for range 4 {
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+	}
+	// The three pauses between them are the shortest, twice and four times that at the least.
+	if took := time.Since(began); took < 7*shortest {
+		t.Errorf("four connections within %v", took)
+	}
+	connection.cancel()
+	<-ended
+}
--- a/tests/soak/recovery.go
+++ b/tests/soak/recovery.go
@@ -34,7 +34,8 @@
 	return response.StatusCode, body, err
 }
 
-// checkCore returns an error unless all of the core votes and is up to date.
+// checkCore returns an error unless all of the core votes, under the identities that the nodes have
+// now, and is up to date. Only then does the deployment bear another lost disk.
 func (w *workload) checkCore(ctx context.Context) error {
 	for _, n := range coreNodes {
 		status, body, err := w.get(ctx, n.address(controlPort), "/api/status")
@@ -42,22 +43,25 @@
 			return err
 		}
 		var state struct {
-			IsUpToDate bool `json:"in_touch"`
+			ID         string `json:"id"`
+			IsUpToDate bool   `json:"in_touch"`
 			Members    []struct {
-				IsVoter bool `json:"voter"`
+				ID      string `json:"id"`
+				IsVoter bool   `json:"voter"`
 			} `json:"members"`
 		}
 		if err := json.Unmarshal(body, &state); err != nil {
 			return fmt.Errorf("%s: status %d: %w", n.name, status, err)
 		}
-		voters := 0
+		voters, isVoter := 0, false
 		for _, m := range state.Members {
 			if m.IsVoter {
 				voters++
+				isVoter = isVoter || m.ID == state.ID
 			}
 		}
-		if !state.IsUpToDate || voters != len(coreNodes) {
-			return fmt.Errorf("%s: up to date %v, %d voters", n.name, state.IsUpToDate, voters)
+		if !state.IsUpToDate || !isVoter || voters != len(coreNodes) {
+			return fmt.Errorf("%s: up to date %v, votes %v, %d voters", n.name, state.IsUpToDate, isVoter, voters)
 		}
 	}
 	return nil
