Left behind: a promise of a closing node; a draw without a seed

A call whose first attempt may have been applied was answered 503, which promises that nothing was done, if the node closed before the next attempt (open in ROADMAP). It is 504 now. TestConclusionOfAProposal's last row but one fails on the code before.

--- a/internal/controlplane/proposer.go
+++ b/internal/controlplane/proposer.go
@@ -152,17 +152,7 @@
 // propose puts a command through the log within RequestTimeout, see Node.Propose.
 func (p *proposer) propose(cmd registry.Command) (registry.Result, error) {
 	call := &proposalCall{proposer: p, cmd: cmd}
-	isFinal, err := p.callLeader(call, time.Now().Add(p.timing.RequestTimeout))
-	switch {
-	case err != nil:
-		return registry.Result{}, err
-	case isFinal:
-		return call.result, call.err
-	case call.mayBeApplied:
-		p.metrics.proposalsUnknown.Inc()
-		return registry.Result{}, apierror.New(apierror.UnknownOutcome, "the leader did not answer")
-	}
-	return registry.Result{}, apierror.New(apierror.Unavailable, "no leader")
+	return call.conclude(p.callLeader(call, time.Now().Add(p.timing.RequestTimeout)))
 }
 
 // proposalCall is a command on its way through the log.
@@ -177,6 +167,22 @@
 	mayBeApplied bool
 }
 
+// conclude returns what the caller is told when callLeader has ended. Unavailable promises that the
+// command is not applied and never will be, so it is given only if no attempt may have brought that
+// about, also where the node closes before a further attempt.
+func (c *proposalCall) conclude(isFinal bool, err error) (registry.Result, error) {
+	switch {
+	case isFinal:
+		return c.result, c.err
+	case c.mayBeApplied:
+		c.proposer.metrics.proposalsUnknown.Inc()
+		return registry.Result{}, apierror.New(apierror.UnknownOutcome, "the leader did not answer")
+	case err != nil:
+		return registry.Result{}, err
+	}
+	return registry.Result{}, apierror.New(apierror.Unavailable, "no leader")
+}
+
 func (c *proposalCall) start(state *loopState, done chan<- outcome) string {
 	return c.proposer.startProposal(state, c.cmd, done)
 }
--- a/internal/controlplane/proposer_test.go
+++ b/internal/controlplane/proposer_test.go
@@ -179,3 +179,29 @@
 		}
 	}
 }
+
+// TestConclusionOfAProposal: a caller is told that nothing was done only if no attempt may have
+// brought the command about, whatever ended the attempts.
+func TestConclusionOfAProposal(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		mayBeApplied bool
+		isFinal      bool
+		err          error
+		want         apierror.Kind
+	}{
+		{"no leader in time", false, false, nil, apierror.Unavailable},
+		{"no leader in time, an answer was lost", true, false, nil, apierror.UnknownOutcome},
+		{"the node closes", false, false, errStopping, apierror.Unavailable},
+		{"the node closes, an answer was lost", true, false, errStopping, apierror.UnknownOutcome},
+	} {
+		call := &proposalCall{proposer: &proposer{environment: newTestEnvironment(t)}, mayBeApplied: c.mayBeApplied}
+		if _, err := call.conclude(c.isFinal, c.err); apierror.KindOf(err) != c.want {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+	call := &proposalCall{result: registry.Result{Revision: 7}, mayBeApplied: true}
+	if result, err := call.conclude(true, nil); err != nil || result.Revision != 7 {
+		t.Errorf("a final outcome: %+v, %v", result, err)
+	}
+}
--- a/internal/proxy/handle.go
+++ b/internal/proxy/handle.go
@@ -42,7 +42,7 @@
 	}
 	*buf = q.head // which may have grown
 
-	q.service = snapshot.services[q.route.PickService(rand.Float64())]
+	q.service = snapshot.services[q.route.PickService(p.random())]
 	q.stats = snapshot.routeStats[q.route.Index]
 	q.regionMask = snapshot.regionMasks[q.route.Index]
 	p.watchClient(&q)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -22,12 +23,14 @@
 
 // Proxy is a running proxy node.
 type Proxy struct {
-	settings     *settings.Settings
-	timeouts     timeouts
-	log          *slog.Logger
-	metrics      *metrics.Registry
-	counters     counters
-	startedAt    time.Time
+	settings  *settings.Settings
+	timeouts  timeouts
+	log       *slog.Logger
+	metrics   *metrics.Registry
+	counters  counters
+	startedAt time.Time
+	// random draws from [0, 1) where requests are split. It is safe for concurrent use.
+	random       func() float64
 	controlNodes *discovery.Locator
 	pacer        *pacer
 	departures   *departureWatcher
@@ -81,6 +84,7 @@
 		metrics:      registry,
 		counters:     newCounters(registry),
 		startedAt:    time.Now(),
+		random:       rand.Float64,
 		controlNodes: discovery.NewLocator(set),
 		pacer:        newPacer(set.Limits.BandwidthMbps),
 		departures:   newDepartureWatcher(registry),
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"math/rand"
 	"time"
 
 	"lichentray/internal/transport"
@@ -117,7 +116,7 @@
 	}
 	s.rollout.strata.RecordRequest(route)
 	share = s.rollout.strata.RouteShare(share, route)
-	if share < 1 && rand.Float64() >= share {
+	if share < 1 && p.random() >= share {
 		return loadbalance.BaseVersion
 	}
 	if p.now()-time.Duration(p.lastBookmarkAt.Load()) > p.timeouts.rolloutLease {
--- a/internal/proxy/rollout_test.go
+++ b/internal/proxy/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -37,6 +38,8 @@
 		return failing
 	})
 	p, f := startFrontend(t)
+	// The requests come one after the other, so the seed decides where each goes.
+	p.random = rand.New(rand.NewSource(1)).Float64
 	p.settings.Guarantees = []string{"rollout"}
 	addr := f.listener.Addr().String()
 	p.addVersionedEndpoint("i-old", "v1", old)
