--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -181,7 +181,7 @@
 	began, ended := make(chan string, 10), make(chan string, 10)
 	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Get("after") == "0" {
-			fmt.Fprint(w, r.RemoteAddr)
+			fmt.Fprint(w, r.RequestURI, " from ", r.RemoteAddr)
 			return
 		}
 		began <- r.URL.Path
@@ -202,7 +202,7 @@
 	}()
 	get := func(after int) string {
 		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			r, err := http.Get(fmt.Sprintf("http://%s:%d/api/watch/g.?after=%d&wait_ms=1000", ips[1], control, after))
+			r, err := http.Get(fmt.Sprintf("http://%s:%d/api/watch/a%%2F..%%2Fg.?after=%d&wait_ms=1000", ips[1], control, after))
 			if err != nil {
 				continue
 			}
@@ -215,8 +215,8 @@
 		t.Fatal("no watch was answered")
 		return ""
 	}
-	if first, second := get(0), get(0); first != second {
-		t.Errorf("two watches one after the other came from %s and %s", first, second)
+	if first, second := get(0), get(0); first != second || !strings.HasPrefix(first, "/api/watch/a%2F..%2Fg.?after=0&wait_ms=1000 from ") {
+		t.Errorf("two watches one after the other: %s, %s", first, second)
 	}
 	ctx, leave := context.WithCancel(context.Background())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/api/watch/g.?after=1&wait_ms=1000", ips[1], control), nil)
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -122,6 +122,7 @@
 	if err := conn.SetDeadline(deadline); err != nil {
 		return errConnectionEnded
 	}
+	ctx.Request.URI().DisablePathNormalizing = true // the name of the group stays as it was sent
 	stop := r.closeWhenCallerLeaves(ctx, conn)
 	err := ctx.Request.Write(conn.writer)
 	if err == nil {
