Relay: watches are bounded again

Found on reading the change once more: since watches have connections of their own, the bound of maxCoreConnections, which they shared with the other calls, held for those alone, and waiting watches could take every descriptor of the relay. Watches may take half of that bound and the other calls the other half, so the sum is what it was. One beyond is answered as unsent (503), as before. TestWatchesAreBounded; go test -race ./internal/relay and the linters: passed.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -99,8 +99,13 @@
 	return isTarget
 }
 
-// maxCoreConnections bounds the connections to a core node, and so the calls in flight.
-const maxCoreConnections = 1000
+const (
+	// maxCoreConnections bounds the connections to a core node, and so the calls in flight.
+	maxCoreConnections = 1000
+	// maxWatches is how many of them watches may take. Those wait long, and the other calls must
+	// not wait for them.
+	maxWatches = maxCoreConnections / 2
+)
 
 // maxStaleConnections bounds how many idle connections that the core node has closed one call may
 // be attempted on.
@@ -111,7 +116,7 @@
 	return &fasthttp.HostClient{
 		Addr:                          address,
 		Dial:                          r.dialCore,
-		MaxConns:                      maxCoreConnections,
+		MaxConns:                      maxCoreConnections - maxWatches,
 		ReadTimeout:                   r.timeouts.call,
 		MaxIdemponentCallAttempts:     maxStaleConnections,
 		RetryIfErr:                    retryIfUnsent,
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -32,13 +32,33 @@
 	watches watchPool
 }
 
-// watchPool holds idle connections for watches. It is safe for concurrent use.
+// watchPool holds idle connections for watches, and bounds those in use. It is safe for concurrent
+// use.
 type watchPool struct {
 	mu       sync.Mutex
 	idle     []*watchConn
+	waiting  int // watches in progress
 	isClosed bool
 }
 
+// begin counts a watch; false if too many are in progress. One that began is ended by end.
+func (p *watchPool) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting >= maxWatches {
+		return false
+	}
+	p.waiting++
+	return true
+}
+
+// end ends a watch.
+func (p *watchPool) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting--
+}
+
 // watchConn is a connection that carries one watch at a time.
 type watchConn struct {
 	net.Conn
@@ -94,6 +114,10 @@
 // forwardWatch forwards a watch and reads its answer. It breaks off when the caller leaves, so that
 // the core node does not wait for nobody; the error is errCallerLeft then.
 func (r *relay) forwardWatch(ctx *fasthttp.RequestCtx, target *coreTarget) error {
+	if !target.watches.begin() {
+		return fasthttp.ErrNoFreeConns
+	}
+	defer target.watches.end()
 	deadline := time.Now().Add(r.timeouts.watch)
 	for {
 		conn := target.watches.get()
