Coordination: lease timers belong to the core, and the simulations use them

The timers stood in internal/controlplane and, written again, in two simulations of the registry. Now all three use coordination.LeaseTimers, so that what is proposed for locks is the code that runs.

--- a/internal/controlplane/doc.go
+++ b/internal/controlplane/doc.go
@@ -23,7 +23,7 @@
 //   - peerPool keeps the connections to the other members
 //   - watchServer serves the lists and watches of proxies
 //   - healthMonitor tracks endpoint heartbeats and removes crashed endpoints
-//   - leaseTimers know which coordination locks have expired
+//   - coordination.LeaseTimers know which coordination locks have expired
 //   - rolloutController advances roll-outs
 //   - quotaAllocator shares out what endpoints that warm up may receive
 //   - proxyDirectory, zoneEvacuator, configurationStore, groupWatchers and
--- a/internal/controlplane/event_loop.go
+++ b/internal/controlplane/event_loop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lichentray/coordination"
 	"lichentray/internal/apierror"
 	"lichentray/loadbalance"
 	"lichentray/raft"
@@ -32,7 +33,7 @@
 
 	// What the parts of the node keep in the loop. The types stand beside the parts.
 	requests   pendingRequests
-	leases     leaseTimers
+	leases     coordination.LeaseTimers
 	snapshots  *snapshotter
 	history    revisionHistory
 	membership membershipSchedule
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -203,7 +203,7 @@
 	result, events := n.state.applyCommand(now, cmd)
 	n.rollouts.forgetEnded(state, events)
 	if c := cmd.Coordination; c != nil {
-		state.leases.update(now, c, result.Latch, n.state.onLoop(state).store.Coordination().Locks)
+		state.leases.Update(now, c, result.Latch, n.state.onLoop(state).store.Coordination().Locks)
 		if c.Operation == coordination.PutCell {
 			n.groups.wake(coordination.GroupOf(c.Name))
 		}
@@ -214,7 +214,7 @@
 // installSnapshot replaces the replicated state by the one that the leader sent.
 func (n *Node) installSnapshot(state *loopState, snapshot *raft.Snapshot) {
 	n.state.replace(state.snapshots.takeReceived(), snapshot.Index)
-	state.leases.restart(n.now(), n.state.onLoop(state).store.Coordination().Locks)
+	state.leases.Restart(n.now(), n.state.onLoop(state).store.Coordination().Locks)
 	n.rollouts.forgetAllEnded(state)
 	n.groups.wakeAll()
 	state.requests.abandonThrough(snapshot.Index)
--- a/internal/controlplane/proposer.go
+++ b/internal/controlplane/proposer.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"lichentray/coordination"
 	"lichentray/internal/apierror"
 	"lichentray/internal/transport"
 	"lichentray/raft"
@@ -305,9 +304,9 @@
 	if !state.isLeader() {
 		return p.peers.addrOf(state.raft.LeaderID())
 	}
-	if c := cmd.Coordination; c != nil && c.Operation == coordination.AcquireLock {
+	if c := cmd.Coordination; c != nil {
 		locks := p.state.onLoop(state).store.Coordination().Locks
-		cmd.Coordination = state.leases.withExpiredGrant(p.now(), c, locks)
+		cmd.Coordination = state.leases.Prepare(p.now(), c, locks)
 	}
 	index, term, ok := state.raft.Propose(registry.EncodeCommand(cmd))
 	if !ok {
--- a/internal/controlplane/start.go
+++ b/internal/controlplane/start.go
@@ -316,6 +316,6 @@
 	n.peers.setMembership(node.Membership())
 	planner := newMembershipPlanner(n.settings, n.timing, n.membership.failureDomainOf)
 	state := newLoopState(node, snapshots, planner)
-	state.leases.restart(0, replicated.store.Coordination().Locks)
+	state.leases.Restart(0, replicated.store.Coordination().Locks)
 	return state
 }
--- a/registry/audit_test.go
+++ b/registry/audit_test.go
@@ -58,7 +58,7 @@
 func runAuditSimulation(t *testing.T, seed int64) {
 	const proxies, perBatch = 6, 20
 	c := rafttest.NewCluster(seed, 3, func() rafttest.StateMachine {
-		return &simulatedStore{store: registry.NewStore(), lockExpiry: map[string]time.Duration{}, clock: func() time.Duration { return 0 }}
+		return newSimulatedStore(func() time.Duration { return 0 })
 	})
 	c.Run(time.Second)
 	type proxy struct {
--- a/registry/replay_test.go
+++ b/registry/replay_test.go
@@ -29,12 +29,12 @@
 	const retention = 2 * time.Second
 	var c *rafttest.Cluster
 	c = rafttest.NewCluster(seed, 5, func() rafttest.StateMachine {
-		return &simulatedStore{store: registry.NewStore(), lockExpiry: map[string]time.Duration{}, clock: func() time.Duration {
+		return newSimulatedStore(func() time.Duration {
 			if c == nil {
 				return 0
 			}
 			return c.Now
-		}}
+		})
 	})
 	c.Run(time.Second)
 	table := func(id uint64) *coordination.Table {
--- a/registry/simulation_test.go
+++ b/registry/simulation_test.go
@@ -47,23 +47,17 @@
 	done                   func()
 }
 
-// replica is a node's store with lease timers as a control-plane node keeps them: each
-// runs from when this replica applied the grant, and anew after a snapshot or a start.
+// replica is a node's store with its lease timers.
 type replica struct {
 	sim    *simulation
 	store  *registry.Store
-	timers map[string]lockTimer
+	leases coordination.LeaseTimers
 	// The evacuation of the only zone, and when this replica applied its newest order
 	// to begin (true) and to finish (false).
 	evacuation  registry.Evacuation
 	lastOrderAt map[bool]time.Duration
 }
 
-type lockTimer struct {
-	grant     uint64
-	expiresAt time.Duration
-}
-
 func (r *replica) Apply(index uint64, data []byte) any {
 	cmd, err := registry.DecodeCommand(data[8:])
 	if err != nil {
@@ -72,10 +66,7 @@
 	}
 	res, _ := r.store.Apply(cmd)
 	if l := cmd.Coordination; l != nil {
-		if (l.Operation == coordination.AcquireLock || l.Operation == coordination.RenewLock) && res.Latch.Code == coordination.OK {
-			k := r.store.Coordination().Locks[l.Name]
-			r.timers[l.Name] = lockTimer{k.Grant, r.sim.now() + time.Duration(k.HoldMS)*time.Millisecond}
-		}
+		r.leases.Update(r.sim.now(), l, res.Latch, r.store.Coordination().Locks)
 	}
 	r.observeEvacuation()
 	r.sim.recordEffect(binary.BigEndian.Uint64(data), index, res)
@@ -92,10 +83,7 @@
 		r.sim.t.Error(err)
 	}
 	r.observeEvacuation()
-	r.timers = map[string]lockTimer{}
-	for name, k := range r.store.Coordination().Locks {
-		r.timers[name] = lockTimer{k.Grant, r.sim.now() + time.Duration(k.HoldMS)*time.Millisecond}
-	}
+	r.leases.Restart(r.sim.now(), r.store.Coordination().Locks)
 }
 
 func (r *replica) observeEvacuation() {
@@ -152,7 +140,9 @@
 	}
 	sim.nextNodeID = uint64(n + 1)
 	sim.cluster = rafttest.NewCluster(seed, n, func() rafttest.StateMachine {
-		return &replica{sim: sim, store: registry.NewStore(), timers: map[string]lockTimer{}, lastOrderAt: map[bool]time.Duration{}}
+		r := &replica{sim: sim, store: registry.NewStore(), lastOrderAt: map[bool]time.Duration{}}
+		r.leases.Restart(sim.now(), nil)
+		return r
 	})
 	sim.run(time.Second)
 	return sim
@@ -342,19 +332,12 @@
 	}
 }
 
-// propose appends a command at a node that leads, and reports whether it did. An
-// acquisition names the grant whose lease has run out by this node's timer.
+// propose appends a command at a node that leads, and reports whether it did.
 func (sim *simulation) propose(id uint64, x *call, done func(outcome, registry.Result)) bool {
 	cmd := x.command
 	r := sim.cluster.Nodes[id].StateMachine.(*replica)
-	if cmd.Coordination != nil && cmd.Coordination.Operation == coordination.AcquireLock {
-		acquire := *cmd.Coordination
-		if lock, isHeld := r.store.Coordination().Locks[acquire.Name]; isHeld {
-			if t := r.timers[acquire.Name]; t.grant == lock.Grant && sim.now() >= t.expiresAt {
-				acquire.ExpiredToken, acquire.ExpiredGrant = lock.Fence, lock.Grant
-			}
-		}
-		cmd.Coordination = &acquire
+	if cmd.Coordination != nil {
+		cmd.Coordination = r.leases.Prepare(sim.now(), cmd.Coordination, r.store.Coordination().Locks)
 	}
 	data := append(binary.BigEndian.AppendUint64(nil, x.tag), registry.EncodeCommand(cmd)...)
 	sim.lastOrder++
--- a/registry/store_test.go
+++ b/registry/store_test.go
@@ -109,13 +109,17 @@
 
 func formatCommand(c registry.Command) string { return fmt.Sprintf("%+v %+v", c.Txn, c.Coordination) }
 
-// simulatedStore is the state machine of a simulated node: a store and the moments at
-// which the leases of its locks run out, counted from when this replica applied the
-// grant.
+// simulatedStore is the state machine of a simulated node: a store and its lease timers.
 type simulatedStore struct {
-	store      *registry.Store
-	clock      func() time.Duration
-	lockExpiry map[string]time.Duration
+	store  *registry.Store
+	clock  func() time.Duration
+	leases coordination.LeaseTimers
+}
+
+func newSimulatedStore(clock func() time.Duration) *simulatedStore {
+	g := &simulatedStore{store: registry.NewStore(), clock: clock}
+	g.leases.Restart(clock(), nil)
+	return g
 }
 
 func (g *simulatedStore) Apply(_ uint64, data []byte) any {
@@ -124,17 +128,15 @@
 		return nil
 	}
 	res, _ := g.store.Apply(c)
-	if l := c.Coordination; l != nil && res.Latch.Code == coordination.OK && (l.Operation == coordination.AcquireLock || l.Operation == coordination.RenewLock) {
-		g.lockExpiry[l.Name] = g.clock() + time.Duration(l.LeaseMS)*time.Millisecond
+	if l := c.Coordination; l != nil {
+		g.leases.Update(g.clock(), l, res.Latch, g.store.Coordination().Locks)
 	}
 	return res
 }
 func (g *simulatedStore) Snapshot() []byte { b, _ := g.store.Snapshot(); return b }
 func (g *simulatedStore) Restore(b []byte) {
 	_ = g.store.Restore(b)
-	for name, l := range g.store.Coordination().Locks {
-		g.lockExpiry[name] = g.clock() + time.Duration(l.HoldMS)*time.Millisecond
-	}
+	g.leases.Restart(g.clock(), g.store.Coordination().Locks)
 }
 
 // TestCoordinationIsLinearizable records what callers of locks, sequences and cells see
@@ -169,12 +171,12 @@
 func runHistory(t *testing.T, seed int64) {
 	var c *rafttest.Cluster
 	c = rafttest.NewCluster(seed, 3, func() rafttest.StateMachine {
-		return &simulatedStore{store: registry.NewStore(), lockExpiry: map[string]time.Duration{}, clock: func() time.Duration {
+		return newSimulatedStore(func() time.Duration {
 			if c == nil {
 				return 0
 			}
 			return c.Now
-		}}
+		})
 	})
 	c.Run(time.Second)
 	var topNumber, topToken uint64  // the greatest answered so far
@@ -194,11 +196,8 @@
 				continue
 			}
 			g := n.StateMachine.(*simulatedStore)
-			x := *cmd
-			if l, ok := g.store.Coordination().Locks[x.Name]; ok && x.Operation == coordination.AcquireLock && c.Now >= g.lockExpiry[x.Name] {
-				x.ExpiredToken, x.ExpiredGrant = l.Fence, l.Grant
-			}
-			c.Propose(id, registry.EncodeCommand(registry.Command{Coordination: &x}), func(res any, ok bool) {
+			prepared := g.leases.Prepare(c.Now, cmd, g.store.Coordination().Locks)
+			c.Propose(id, registry.EncodeCommand(registry.Command{Coordination: prepared}), func(res any, ok bool) {
 				if r, is := res.(registry.Result); ok && is {
 					done(r.Latch)
 				}
