--- a/registry/caller_test.go
+++ b/registry/caller_test.go
@@ -13,6 +13,7 @@
 type caller struct {
 	sim          *simulation
 	name         string
+	ownLock      string // that it acquires again and again if it keeps its name
 	lockCount    int    // how many locks it has tried to acquire
 	lock         string // that it has or may have
 	holder       string
@@ -44,7 +45,11 @@
 	cell := fmt.Sprintf("g%d.%d", r.Intn(2), r.Intn(3))
 	p.version++
 	value := fmt.Sprint(p.name, " ", p.version)
-	switch k := r.Intn(12); {
+	k := r.Intn(12)
+	if sim.keepsHolderNames {
+		k = 11 // nothing but locks
+	}
+	switch {
 	case k < 2:
 		x := &call{object: registry.ConfigKey}
 		sim.callNode(sim.pickNode(), x, func() {
@@ -111,14 +116,21 @@
 }
 
 // advanceLock makes the next step with a lock: it acquires, renews, releases or abandons
-// it. Each acquisition is under a holder's name of its own.
+// it. Each acquisition is under a holder's name of its own, unless the callers of the
+// simulation keep theirs, as applications do that come back after an end or a failed call.
 func (p *caller) advanceLock() {
 	r := p.sim.cluster.Rand
 	if p.lock == "" {
 		p.lockCount++
 		p.lock, p.holder, p.fencingToken = fmt.Sprint("l", r.Intn(4)), fmt.Sprint(p.name, ".", p.lockCount), 0
 	}
+	if p.sim.keepsHolderNames {
+		p.lock, p.holder = p.ownLock, p.name
+	}
 	l := coordination.Command{Name: p.lock, Holder: p.holder, FencingToken: p.fencingToken, LeaseMS: uint64(100 + r.Intn(maxLeaseMS-100))}
+	if p.sim.keepsHolderNames {
+		l.LeaseMS = longLeaseMS
+	}
 	switch k := r.Intn(10); {
 	case p.fencingToken == 0 || k < 1:
 		l.Operation, l.FencingToken = coordination.AcquireLock, 0
--- a/registry/fault_test.go
+++ b/registry/fault_test.go
@@ -9,12 +9,32 @@
 	"lichentray/registry"
 )
 
-// injectFaults starts callers and watchers and injects one fault after another.
-func (sim *simulation) injectFaults() {
+// freezeNodes starts callers and freezes one node after the other, the leader or another
+// one, for longer than callers wait. What was sent to it is read when it thaws.
+func (sim *simulation) freezeNodes() {
+	sim.startCallers()
+	for range 12 {
+		ids := sim.cluster.IDs()
+		sim.faultyNodeID = ids[sim.cluster.Rand.Intn(len(ids))]
+		sim.cluster.SetFrozen(sim.faultyNodeID, true)
+		sim.run(callerTimeout + sim.randomDuration(3*time.Second))
+		sim.cluster.SetFrozen(sim.faultyNodeID, false)
+		sim.run(sim.randomDuration(time.Second))
+	}
+	sim.cluster.Heal()
+}
+
+// startCallers starts the callers.
+func (sim *simulation) startCallers() {
 	for i := range 12 {
-		p := &caller{sim: sim, name: fmt.Sprint("c", i), cells: map[string]uint64{}}
+		p := &caller{sim: sim, name: fmt.Sprint("c", i), ownLock: fmt.Sprint("l", i%4), cells: map[string]uint64{}}
 		p.scheduleNextCall()
 	}
+}
+
+// injectFaults starts callers and watchers and injects one fault after another.
+func (sim *simulation) injectFaults() {
+	sim.startCallers()
 	for i := range 6 {
 		sim.runWatcher(fmt.Sprintf("g%d.", i%2), 0)
 	}
--- a/registry/history_test.go
+++ b/registry/history_test.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// TestHolderNamesAreReused is TestClientHistoriesAreLinearizable with callers that keep
+// their names when they acquire a lock again, so that calls of an earlier holding may
+// still be on their way. No two callers may rely on a lock at the same moment.
+func TestHolderNamesAreReused(t *testing.T) {
+	for seed := range int64(16) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(t, seed, 3+2*int(seed%2))
+			sim.keepsHolderNames = true
+			sim.freezeNodes()
+			sim.healAndReadAll()
+			sim.checkHistory()
+		})
+	}
+}
+
 // checkHistory checks all that callers saw against what a single copy would allow. It
 // returns the number of calls by outcome, and of those with an unknown outcome that took
 // effect.
--- a/registry/simulation_test.go
+++ b/registry/simulation_test.go
@@ -17,6 +17,7 @@
 	outcomeTimeout    = 900 * time.Millisecond  // how long a node waits for an outcome
 	callerTimeout     = 1200 * time.Millisecond // how long a caller waits for an answer
 	maxLeaseMS        = 2000                    // of the locks that callers acquire
+	longLeaseMS       = 4000                    // of those that callers acquire again and again
 	partitionDuration = 20 * time.Second
 
 	evacuationKey = registry.EvacuationPrefix + "z"
@@ -126,6 +127,7 @@
 	lostNodeID        uint64         // voter that lost its disk and is not replaced yet, or 0
 	faultyNodeID      uint64         // node that the present fault is at
 	isOver            bool
+	keepsHolderNames  bool // callers acquire locks under one name each
 	probePuts         int
 	watchedEvents     int
 	snapshotInstalls  int
