Coordination: a release does not free a lock that its holder has acquired again

Cause: a holder that acquires its lock once more gets its fencing token again, so a release that it sent before, gave up, and that was delayed on its way names the present holding, and freed it under its holder.

Nothing that is stored or sent has changed. A release that frees such a lock all the same counts as a violation of reacquired_lock_is_not_released.

--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -26,6 +26,13 @@
 	watchesAbandoned *metrics.Counter // by their callers
 	endpointsRemoved *metrics.Counter
 	appliedIndex     *metrics.Counter // a gauge
+	// lockReacquisitions are acquisitions by the caller that held the lock already, and
+	// releasesWithheld the releases that were answered without freeing their lock.
+	lockReacquisitions *metrics.Counter
+	releasesWithheld   *metrics.Counter
+	// reacquiredLocksReleased counts violations of the invariant that a release never frees a
+	// lock that its holder has acquired once more: the release may be older than that.
+	reacquiredLocksReleased *metrics.Counter
 }
 
 func newNodeMetrics(r *metrics.Registry) *nodeMetrics {
@@ -49,6 +56,10 @@
 		watchesAbandoned: r.Counter("group_watches_abandoned_total"),
 		endpointsRemoved: r.Counter("endpoints_removed_total"),
 		appliedIndex:     r.Counter("applied_index"),
+
+		lockReacquisitions:      r.Counter("lock_reacquisitions_total"),
+		releasesWithheld:        r.Counter("lock_releases_withheld_total"),
+		reacquiredLocksReleased: r.Counter("invariant_violations_total", "invariant", "reacquired_lock_is_not_released"),
 	}
 }
 
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -203,7 +203,14 @@
 	result, events := n.state.applyCommand(now, cmd)
 	n.rollouts.forgetEnded(state, events)
 	if c := cmd.Coordination; c != nil {
-		state.leases.Update(now, c, result.Latch, n.state.onLoop(state).store.Coordination().Locks)
+		locks := n.state.onLoop(state).store.Coordination().Locks
+		if !state.leases.Update(now, entry.Index, c, result.Latch, locks) {
+			n.metrics.reacquiredLocksReleased.Inc()
+			n.logger.Error("a lock that its holder had acquired again was released", "lock", c.Name, "holder", c.Holder, "fence", c.FencingToken)
+		}
+		if c.Operation == coordination.AcquireLock && result.Latch.Fence != result.Latch.Grant {
+			n.metrics.lockReacquisitions.Inc()
+		}
 		if c.Operation == coordination.PutCell {
 			n.groups.wake(coordination.GroupOf(c.Name))
 		}
--- a/internal/controlplane/proposer.go
+++ b/internal/controlplane/proposer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lichentray/coordination"
 	"lichentray/internal/apierror"
 	"lichentray/internal/transport"
 	"lichentray/raft"
@@ -304,19 +305,39 @@
 	if !state.isLeader() {
 		return p.peers.addrOf(state.raft.LeaderID())
 	}
-	if c := cmd.Coordination; c != nil {
-		locks := p.state.onLoop(state).store.Coordination().Locks
-		cmd.Coordination = state.leases.Prepare(p.now(), c, locks)
+	if cmd.Coordination != nil {
+		prepared, decision := p.prepareCoordination(state, cmd.Coordination)
+		switch decision {
+		case coordination.Defer:
+			return ""
+		case coordination.AnswerOK:
+			p.metrics.releasesWithheld.Inc()
+			done <- outcome{}
+			return p.self.Addr
+		}
+		cmd.Coordination = prepared
 	}
 	index, term, ok := state.raft.Propose(registry.EncodeCommand(cmd))
 	if !ok {
 		return ""
 	}
+	if cmd.Coordination != nil {
+		state.leases.Proposed(index, cmd.Coordination)
+	}
 	p.metrics.proposals.Inc()
 	state.requests.addProposal(index, term, done)
 	return p.self.Addr
 }
 
+// prepareCoordination decides what becomes of a coordination command at the leader.
+func (p *proposer) prepareCoordination(state *loopState, cmd *coordination.Command) (*coordination.Command, coordination.Decision) {
+	if cmd.Operation == coordination.ReleaseLock && !state.raft.HasAppliedInTerm() {
+		return cmd, coordination.Defer
+	}
+	locks := p.state.onLoop(state).store.Coordination().Locks
+	return state.leases.Prepare(p.now(), cmd, locks)
+}
+
 // startReadIndex asks consensus for a confirmed read index if this node leads.
 func (p *proposer) startReadIndex(state *loopState, done chan<- outcome) string {
 	if !state.isLeader() {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -173,6 +173,12 @@
 // AppliedIndex returns the index of the last entry that Ready handed out as committed.
 func (n *Node) AppliedIndex() uint64 { return n.log.appliedIndex }
 
+// HasAppliedInTerm reports whether this node leads and has applied the entry that opened its
+// term, and so every entry that an earlier leader has committed.
+func (n *Node) HasAppliedInTerm() bool {
+	return n.role == Leader && n.log.appliedIndex >= n.termStartIndex
+}
+
 // StableIndex returns the index of the last entry known to be durable on this node.
 func (n *Node) StableIndex() uint64 { return n.log.stableIndex }
 
