API, relay, soak: calls of callers that have left are not begun; holders of locks in the soak

Cause: a paused node or relay that goes on reads calls whose callers gave them up seconds ago. A late acquisition then holds a lock for nobody, and a late order may contradict a later one.

Change: calls on locks and orders for roll-outs and evacuations are not begun once their caller has left, at a relay (relay_abandoned_total) and at a core node. The soak has callers that take locks again and again under one name, end, sleep past their time and give up their releases; lockHistory checks ONE by their own view. It also restarts nodes in turn by SIGTERM, sends SIGTERM in a pause and SIGHUP in series, pauses several nodes, and checks that what an endpoint ran is answered on a kept connection when a proxy is restarted.

Result: TestAbandonedCallIsNotBegun (red before: the calls are begun).

--- a/internal/api/handler_test.go
+++ b/internal/api/handler_test.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"fmt"
 	"net"
 	"runtime"
 	"strings"
@@ -204,3 +205,57 @@
 	}
 	node.callerChecks <- waits
 }
+
+// TestAbandonedCallIsNotBegun has callers leave before the server accepts their connections, as
+// those of a process that was paused do. What contradicts a later call of theirs is not begun.
+func TestAbandonedCallIsNotBegun(t *testing.T) {
+	for _, test := range []struct {
+		call      string
+		isDropped bool
+	}{
+		{"locks.begin", true},
+		{"locks.heartbeat", true},
+		{"locks.finish", true},
+		{"rollouts.begin", true},
+		{"evacuations.finish", true},
+		{"cells.replace", false},
+	} {
+		t.Run(test.call, func(t *testing.T) {
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			const body = `{"holder":"a","hold_s":3,"fence":4,"value":"v","backend_service":"s","target_version":"v2","deadline_s":12}`
+			conn, err := net.Dial("tcp4", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := fmt.Fprintf(conn, "POST /api/rpc?call=%s&of=l HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", test.call, len(body), body); err != nil {
+				t.Fatal(err)
+			}
+			conn.Close()
+
+			node := &fakeNode{}
+			registry := metrics.NewRegistry()
+			served := make(chan struct{})
+			handler := NewHandler(node, registry, time.Second)
+			server := NewServer(func(ctx *fasthttp.RequestCtx) {
+				handler.Serve(ctx)
+				close(served)
+			}, 1<<20)
+			go func() { _ = server.Serve(listener) }() // ends at Shutdown
+			defer server.Shutdown()
+			<-served
+			outcome := "ok"
+			if test.isDropped {
+				outcome = apierror.Unavailable.String()
+			}
+			if n := registry.Counter("api_calls_total", "call", test.call, "outcome", outcome).Value(); n != 1 {
+				t.Errorf("%d calls with the outcome %s", n, outcome)
+			}
+			if isBegun := node.received != nil; isBegun == test.isDropped {
+				t.Errorf("begun: %v", isBegun)
+			}
+		})
+	}
+}
--- a/internal/api/routes.go
+++ b/internal/api/routes.go
@@ -23,28 +23,46 @@
 // answer is nil, or a body that takes the place of the error's.
 type callHandler func(h *Handler, c call) (answer any, err error)
 
-// rpcPath is the path of the calls in rpcHandlers. The query gives the call and the name.
+// rpcPath is the path of the calls in rpcCalls. The query gives the call and the name.
 const rpcPath = "/api/rpc"
 
-// rpcHandlers are the calls at rpcPath. All of them are POST requests.
-var rpcHandlers = map[string]callHandler{
-	"instances.heartbeat":   (*Handler).heartbeatInstance,
-	"instances.deregister":  (*Handler).deregisterInstance,
-	"configuration.replace": (*Handler).replaceConfiguration,
-	"configuration.read":    (*Handler).readConfiguration,
-	"locks.begin":           (*Handler).acquireLock,
-	"locks.heartbeat":       (*Handler).renewLock,
-	"locks.finish":          (*Handler).releaseLock,
-	"cells.replace":         (*Handler).replaceCell,
-	"cells.read":            (*Handler).readCell,
-	"evacuations.begin":     (*Handler).beginEvacuation,
-	"evacuations.finish":    (*Handler).finishEvacuation,
-	"evacuations.read":      (*Handler).listEvacuations,
-	"rollouts.begin":        (*Handler).beginRollout,
-	"rollouts.read":         (*Handler).readRollout,
-	"accounts.read":         (*Handler).readAudit,
+// rpcCall is one of the calls at rpcPath.
+type rpcCall struct {
+	handle callHandler
+	// needsCaller says that the call is not begun once its caller has left. What such a call does
+	// may contradict a later call of the same caller, which that has sent to another node since.
+	needsCaller bool
+}
+
+// rpcCalls are the calls at rpcPath. All of them are POST requests.
+var rpcCalls = map[string]rpcCall{
+	"instances.heartbeat":   {handle: (*Handler).heartbeatInstance},
+	"instances.deregister":  {handle: (*Handler).deregisterInstance},
+	"configuration.replace": {handle: (*Handler).replaceConfiguration},
+	"configuration.read":    {handle: (*Handler).readConfiguration},
+	"locks.begin":           {handle: (*Handler).acquireLock, needsCaller: true},
+	"locks.heartbeat":       {handle: (*Handler).renewLock, needsCaller: true},
+	"locks.finish":          {handle: (*Handler).releaseLock, needsCaller: true},
+	"cells.replace":         {handle: (*Handler).replaceCell},
+	"cells.read":            {handle: (*Handler).readCell},
+	"evacuations.begin":     {handle: (*Handler).beginEvacuation, needsCaller: true},
+	"evacuations.finish":    {handle: (*Handler).finishEvacuation, needsCaller: true},
+	"evacuations.read":      {handle: (*Handler).listEvacuations},
+	"rollouts.begin":        {handle: (*Handler).beginRollout, needsCaller: true},
+	"rollouts.read":         {handle: (*Handler).readRollout},
+	"accounts.read":         {handle: (*Handler).readAudit},
 }
 
+// IsAbandoned reports whether a request is a call that is not to be begun any more, as its caller
+// has left. It is of use to a node that forwards calls, too.
+func IsAbandoned(ctx *fasthttp.RequestCtx) bool {
+	call := rpcCalls[string(ctx.QueryArgs().Peek("call"))]
+	return call.needsCaller && !NewCallerCheck(ctx)()
+}
+
+// errAbandoned is the end of a call that is not begun, as its caller has left. Nobody reads it.
+var errAbandoned = apierror.New(apierror.Unavailable, "the caller has left")
+
 // route is a path that is served besides rpcPath.
 type route struct {
 	method string
@@ -99,15 +117,18 @@
 // dispatchRPC serves a request at rpcPath.
 func (h *Handler) dispatchRPC(ctx *fasthttp.RequestCtx) (label string, answer any, err error) {
 	label = string(ctx.QueryArgs().Peek("call"))
-	handle, ok := rpcHandlers[label]
+	rpc, ok := rpcCalls[label]
 	if !ok {
 		return unknownCallLabel, nil, apierror.New(apierror.NoRoute, "no call %q", label)
 	}
 	if !ctx.IsPost() {
 		return label, nil, apierror.New(apierror.BadRequest, "call %s is a POST", label)
 	}
+	if IsAbandoned(ctx) {
+		return label, nil, errAbandoned
+	}
 	name := string(ctx.QueryArgs().Peek("of"))
-	answer, err = handle(h, call{ctx: ctx, name: name, body: ctx.PostBody()})
+	answer, err = rpc.handle(h, call{ctx: ctx, name: name, body: ctx.PostBody()})
 	return label, answer, err
 }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -31,6 +31,9 @@
 	case target == nil:
 		r.unavailable.Inc()
 		api.WriteError(ctx, apierror.New(apierror.Unavailable, "no core node is in touch"))
+	case api.IsAbandoned(ctx):
+		r.abandoned.Inc()
+		api.WriteError(ctx, apierror.New(apierror.Unavailable, "the caller has left"))
 	case mustRedirect(ctx):
 		ctx.Response.Header.Set("Location", "http://"+target.address+string(ctx.RequestURI()))
 		ctx.SetStatusCode(fasthttp.StatusTemporaryRedirect)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,6 +49,7 @@
 	forwarded      *metrics.Counter
 	redirected     *metrics.Counter // callers sent to the core, see mustRedirect
 	unavailable    *metrics.Counter // calls of which not one byte was sent
+	abandoned      *metrics.Counter // calls that were not forwarded, as their callers had left
 	outcomeUnknown *metrics.Counter
 	// asked and askedInVain count who connected to learn where the core is, and those of them
 	// that this relay could not tell.
@@ -104,6 +105,7 @@
 		forwarded:      registry.Counter("relay_forwarded_total"),
 		redirected:     registry.Counter("relay_redirected_total"),
 		unavailable:    registry.Counter("relay_unavailable_total"),
+		abandoned:      registry.Counter("relay_abandoned_total"),
 		outcomeUnknown: registry.Counter("relay_outcome_unknown_total"),
 		asked:          registry.Counter("relay_asked_for_core_total"),
 		askedInVain:    registry.Counter("relay_asked_for_core_in_vain_total"),
--- a/tests/soak/checks.go
+++ b/tests/soak/checks.go
@@ -27,6 +27,7 @@
 	ackedVersion int
 	numbers      rising
 	fences       rising // of new holders of the lock
+	locks        *lockHistory
 
 	served, unserved, left, acknowledged int
 }
@@ -43,7 +44,7 @@
 }
 
 func newChecks() *checks {
-	return &checks{
+	c := &checks{
 		runs:       map[string]int{},
 		promises:   map[string]int{},
 		departures: map[string]departure{},
@@ -51,6 +52,8 @@
 		numbers:    rising{name: "number"},
 		fences:     rising{name: "fence"},
 	}
+	c.locks = newLockHistory(c.fail)
+	return c
 }
 
 // fail records a violation.
@@ -91,6 +94,16 @@
 	}
 }
 
+// recordCutOff records that the connection of a request which may run once ended without an answer,
+// while nothing but planned work was done to the proxy: no endpoint may have run it.
+func (c *checks) recordCutOff(id, proxy string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs[id] > 0 {
+		c.failLocked("request %s ran, but %s ended its connection without an answer", id, proxy)
+	}
+}
+
 // recordOutcome counts whether a request was served.
 func (c *checks) recordOutcome(isServed bool) {
 	c.mu.Lock()
@@ -207,6 +220,7 @@
 func (c *checks) summary() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("%d requests served, %d not, %d clients left, %d calls acknowledged",
-		c.served, c.unserved, c.left, c.acknowledged)
+	acquired, reacquired, released := c.locks.counts()
+	return fmt.Sprintf("%d requests served, %d not, %d clients left, %d calls acknowledged, locks acquired %d times, %d of them again, and released %d times",
+		c.served, c.unserved, c.left, c.acknowledged, acquired, reacquired, released)
 }
--- a/tests/soak/cluster.go
+++ b/tests/soak/cluster.go
@@ -66,7 +66,11 @@
 }
 
 // outage is a time in which a node did not run or was paused.
-type outage struct{ from, to time.Time }
+type outage struct {
+	from, to time.Time
+	// isPlanned says that it began with SIGTERM.
+	isPlanned bool
+}
 
 // cluster is the processes. Its methods may be called by any goroutine.
 type cluster struct {
@@ -79,6 +83,7 @@
 	seeds        []string // API addresses
 	isFirstStart bool
 	running      map[string]*process
+	ending       map[string]*process // those that were told to end, by SIGTERM
 	outages      map[string][]outage
 	logs         map[string]*bytes.Buffer
 	// logLengths are the lengths of the logs at the last start.
@@ -101,6 +106,7 @@
 		network:      newNetwork(),
 		isFirstStart: true,
 		running:      map[string]*process{},
+		ending:       map[string]*process{},
 		outages:      map[string][]outage{},
 		logs:         map[string]*bytes.Buffer{},
 		logLengths:   map[string]int{},
@@ -221,12 +227,21 @@
 	}
 }
 
-// wasDisturbed reports whether a node did not run at some moment of a time.
+// wasDisturbed reports whether a node did not run at some moment of a time, or was ending.
 func (k *cluster) wasDisturbed(name string, from, to time.Time) bool {
+	return k.hadOutage(name, from, to, func(outage) bool { return true })
+}
+
+// wasDisturbedUnplanned is wasDisturbed for outages that did not begin with SIGTERM.
+func (k *cluster) wasDisturbedUnplanned(name string, from, to time.Time) bool {
+	return k.hadOutage(name, from, to, func(o outage) bool { return !o.isPlanned })
+}
+
+func (k *cluster) hadOutage(name string, from, to time.Time, counts func(outage) bool) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return slices.ContainsFunc(k.outages[name], func(o outage) bool {
-		return o.from.Before(to) && (o.to.IsZero() || o.to.After(from))
+		return counts(o) && o.from.Before(to) && (o.to.IsZero() || o.to.After(from))
 	})
 }
 
--- a/tests/soak/doc.go
+++ b/tests/soak/doc.go
@@ -1,6 +1,8 @@
 // Package soak runs the programs as processes on the loopback under faults that are drawn from a
-// seed: kills, pauses, partitions, lost answers, emptied disks and changes of the seed nodes, two
-// or three of them at a time, while clients, endpoints, an operator and applications are at work.
+// seed: kills, pauses, restarts and hang-ups in series, partitions, lost answers, emptied disks and
+// changes of the seed nodes, two or three of them at a time, while clients, endpoints, an operator
+// and applications are at work. Clients and holders of locks keep their connections open until
+// the process is gone.
 //
 // The deployment is a core of three control-plane nodes with disks, two relays and two proxy
 // nodes. A forwarder of this package stands before each control-plane node (setting bind_ip), so
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -46,6 +46,12 @@
 	{"partition", (*injector).cutOne},
 	{"connections reset", (*injector).resetOne},
 	{"answers lost", (*injector).loseAnswers},
+	{"restart of proxies in turn", (*injector).restartProxies},
+	{"restart of control-plane nodes in turn", (*injector).restartControl},
+	{"restart of all in turn", (*injector).restartAll},
+	{"SIGTERM in a pause", (*injector).terminatePaused},
+	{"SIGHUP in series", (*injector).hangUpInSeries},
+	{"pause of several", (*injector).pauseSeveral},
 	{"seeds changed", (*injector).changeSeeds},
 	{"seeds changed to relays", (*injector).changeSeedsToRelays},
 	{"disk lost", (*injector).loseDisk},
@@ -144,14 +150,28 @@
 }
 
 func (f *injector) pauseOne(ctx context.Context, random *rand.Rand, length time.Duration) {
-	n := pick(random, allNodes())
-	if !f.claim(n) {
+	f.pause(ctx, length, pick(random, allNodes()))
+}
+
+func (f *injector) pauseSeveral(ctx context.Context, random *rand.Rand, length time.Duration) {
+	nodes := controlNodes()
+	random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	f.pause(ctx, length, nodes[:2+random.Intn(len(nodes)-2)]...)
+}
+
+// pause stops the processes of nodes for a time.
+func (f *injector) pause(ctx context.Context, length time.Duration, nodes ...node) {
+	if !f.claim(nodes...) {
 		return
 	}
-	defer f.release(n)
-	f.cluster.signal(n, syscall.SIGSTOP)
+	defer f.release(nodes...)
+	for _, n := range nodes {
+		f.cluster.signal(n, syscall.SIGSTOP)
+	}
 	pause(ctx, length)
-	f.cluster.signal(n, syscall.SIGCONT)
+	for _, n := range nodes {
+		f.cluster.signal(n, syscall.SIGCONT)
+	}
 }
 
 func (f *injector) cutOne(ctx context.Context, random *rand.Rand, length time.Duration) {
@@ -173,6 +193,7 @@
 func (f *injector) loseAnswers(ctx context.Context, _ *rand.Rand, length time.Duration) {
 	f.workload.loseAnswers.Store(true)
 	pause(ctx, length)
+	f.workload.answersLostUntil.Store(time.Now().UnixNano())
 	f.workload.loseAnswers.Store(false)
 }
 
--- a/tests/soak/workload.go
+++ b/tests/soak/workload.go
@@ -40,6 +40,9 @@
 	// again to another node; endpoints break off many of their answers.
 	loseAnswers atomic.Bool
 
+	// answersLostUntil is when loseAnswers was last reset, in nanoseconds of the Unix epoch.
+	answersLostUntil atomic.Int64
+
 	requests  atomic.Int64 // numbers the requests
 	endpoints []*endpoint
 	workers   sync.WaitGroup
@@ -69,8 +72,9 @@
 		w.commit, w.commit, w.leave, w.leave, w.leave,
 	}
 	for range 3 {
-		steps = append(steps, w.reader())
+		steps = append(steps, w.reader(), w.keptCommitter())
 	}
+	steps = append(steps, w.lockHolders()...)
 	for i, step := range steps {
 		random := rand.New(rand.NewSource(seed + int64(i)))
 		w.workers.Go(func() {
@@ -83,6 +87,11 @@
 	return nil
 }
 
+// answersLostAt reports whether endpoints may have broken off answers at a time or since.
+func (w *workload) answersLostAt(at time.Time) bool {
+	return w.loseAnswers.Load() || at.UnixNano() <= w.answersLostUntil.Load()
+}
+
 // wait waits until everyone has ended.
 func (w *workload) wait() {
 	w.workers.Wait()
@@ -213,6 +222,27 @@
 	}
 }
 
+// keptCommitter returns a client that sends requests which may run once on connections that it keeps
+// open until the proxy closes them or is gone.
+func (w *workload) keptCommitter() func(context.Context, *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{}}
+	return func(ctx context.Context, random *rand.Rand) {
+		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+		defer cancel()
+		proxy := pick(random, proxyNodes)
+		r, id := w.newRequest(ctx, proxy, http.MethodPost, "once", requestTimeout)
+		sentAt := time.Now()
+		status := w.send(client, r, id)
+		now := time.Now()
+		w.checks.recordOutcome(status == http.StatusOK)
+		// Answers are lost by the endpoints too; an end of this client is no fault.
+		isCutOff := status == 0 && now.Sub(sentAt) < requestTimeout/2 && ctx.Err() == nil && !w.answersLostAt(sentAt)
+		if isCutOff && !w.cluster.wasDisturbedUnplanned(proxy.name, sentAt.Add(-callTimeout), now) {
+			w.checks.recordCutOff(id, proxy.name)
+		}
+	}
+}
+
 // leave sends a slow request that may be repeated, and leaves while it is in progress.
 func (w *workload) leave(ctx context.Context, random *rand.Rand) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(50+random.Intn(400))*time.Millisecond)
@@ -230,6 +260,11 @@
 
 // callOnce makes a call at one node. The status is 0 if no answer came.
 func (w *workload) callOnce(ctx context.Context, n node, call string, body any) (status int, answer []byte) {
+	return w.callWith(ctx, w.callers, n, call, body)
+}
+
+// callWith is callOnce with a client of the caller's own.
+func (w *workload) callWith(ctx context.Context, client *http.Client, n node, call string, body any) (status int, answer []byte) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		panic(err) // it holds nothing that cannot be encoded
@@ -248,7 +283,7 @@
 	if err != nil {
 		panic(err) // the address is a constant
 	}
-	response, err := w.callers.Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		return 0, nil
 	}
