--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -24,15 +24,21 @@
 // TestSoak runs the programs under faults, see the package comment.
 func TestSoak(t *testing.T) {
 	programs := t.TempDir()
-	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", programs+"/", "lichentray/cmd/...")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	buildPrograms(t, programs)
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runSeed(t, programs, seed) })
 	}
 }
 
+// buildPrograms builds the programs into a directory.
+func buildPrograms(t *testing.T, directory string) {
+	t.Helper()
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", directory+"/", "lichentray/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+}
+
 // runSeed plays one seed.
 func runSeed(t *testing.T, programs string, seed int64) {
 	checks := newChecks()
