--- a/tests/soak/cluster.go
+++ b/tests/soak/cluster.go
@@ -23,48 +23,6 @@
 	readinessPort = 8467
 )
 
-// node is one node of the deployment.
-type node struct {
-	name    string // its IP address, at which the others reach it
-	bindIP  string // where it listens; empty for a proxy
-	program string
-	hasDisk bool
-}
-
-// coreNodes, relayNodes and proxyNodes are the deployment.
-var (
-	coreNodes = []node{
-		{"127.0.0.81", "127.0.1.81", "lichentray-controlplane", true},
-		{"127.0.0.82", "127.0.1.82", "lichentray-controlplane", true},
-		{"127.0.0.83", "127.0.1.83", "lichentray-controlplane", true},
-	}
-	relayNodes = []node{
-		{"127.0.0.84", "127.0.1.84", "lichentray-controlplane", false},
-		{"127.0.0.85", "127.0.1.85", "lichentray-controlplane", false},
-	}
-	proxyNodes = []node{
-		{"127.0.0.86", "", "lichentray-proxy", false},
-		{"127.0.0.87", "", "lichentray-proxy", false},
-	}
-)
-
-// controlNodes are those that serve calls.
-func controlNodes() []node { return slices.Concat(coreNodes, relayNodes) }
-
-// allNodes are all nodes.
-func allNodes() []node { return slices.Concat(coreNodes, relayNodes, proxyNodes) }
-
-// address returns an address of a node.
-func (n node) address(port int) string { return fmt.Sprintf("%s:%d", n.name, port) }
-
-// metricsAddress is where the node tells its counters.
-func (n node) metricsAddress() string {
-	if n.bindIP == "" {
-		return n.address(readinessPort)
-	}
-	return fmt.Sprintf("%s:%d", n.bindIP, controlPort)
-}
-
 // outage is a time in which a node did not run or was paused.
 type outage struct {
 	from, to time.Time
--- a/tests/soak/doc.go
+++ b/tests/soak/doc.go
@@ -15,4 +15,7 @@
 // The test runs a few short seeds. Longer runs:
 //
 //	go test ./tests/soak -count=1 -timeout 2h -soak.first 100 -soak.seeds 50 -soak.duration 30s
+//
+// Several runs on one machine need a -soak.subnet each. -soak.proxies and -soak.relays make the
+// deployment as large as the machine bears.
 package soak
--- a/tests/soak/restarts.go
+++ b/tests/soak/restarts.go
@@ -84,7 +84,7 @@
 }
 
 // terminatePaused sends SIGTERM to a node that is paused and goes on some time later.
-func (f *injector) terminatePaused(ctx context.Context, random *rand.Rand, length time.Duration) {
+func (f *injector) terminatePaused(_ context.Context, random *rand.Rand, length time.Duration) {
 	n := pick(random, allNodes())
 	if !f.claim(n) {
 		return
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -21,6 +21,13 @@
 // a process has counted ends with it.
 const invariantCheckInterval = 300 * time.Millisecond
 
+// TestMain lays out the deployment before the tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	layOut()
+	os.Exit(m.Run())
+}
+
 // TestSoak runs the programs under faults, see the package comment.
 func TestSoak(t *testing.T) {
 	programs := t.TempDir()
