Coordination: acquisitions that a deposed leader proposed are forgotten

Cause, found in reading the mend again: a leader that was deposed with an acquisition in its log, which was then cut off, and led again, deferred the releases of that holder until its next acquisition. Change: what was proposed in an earlier term does not count; a release is decided only once the term's first entry is applied. A row of TestReleaseAfterReacquisition is for it.

--- a/coordination/lease_timers.go
+++ b/coordination/lease_timers.go
@@ -22,6 +22,7 @@
 	// pending are the acquisitions that this replica has proposed as the leader and may not
 	// have applied yet: the log index of the newest by lock and holder.
 	pending map[acquirer]uint64
+	term    uint64 // in which they were proposed
 }
 
 // leaseTimer is what is known of one grant of a lock.
@@ -74,6 +75,15 @@
 	}
 }
 
+// StartTerm is called by a leader with its term before Prepare. What it proposed in an earlier
+// term is applied before it decides on a release, or was never committed.
+func (t *LeaseTimers) StartTerm(term uint64) {
+	if t.term != term {
+		t.term = term
+		clear(t.pending)
+	}
+}
+
 // Update follows a command that was applied from the log entry at index. locks is the
 // state after it. It reports whether the command was sound: a release that frees a lock
 // for which Prepare would have withheld it is not.
--- a/coordination/lease_timers_test.go
+++ b/coordination/lease_timers_test.go
@@ -97,6 +97,10 @@
 		}, release, time.Second, Propose},
 		{"history unknown after a restart", func(timers *LeaseTimers) { timers.Restart(0, held) }, release, time.Second, AnswerOK},
 		{"an acquisition is in the log", func(timers *LeaseTimers) { timers.Proposed(5, acquire) }, release, time.Second, Defer},
+		{"an acquisition was in the log of an earlier term", func(timers *LeaseTimers) {
+			timers.Proposed(5, acquire)
+			timers.StartTerm(2)
+		}, release, time.Second, Propose},
 		{"an acquisition was in the log", func(timers *LeaseTimers) {
 			timers.Proposed(5, acquire)
 			timers.Update(0, 5, acquire, Result{Code: LockHeld}, held)
--- a/internal/controlplane/proposer.go
+++ b/internal/controlplane/proposer.go
@@ -334,6 +334,7 @@
 	if cmd.Operation == coordination.ReleaseLock && !state.raft.HasAppliedInTerm() {
 		return cmd, coordination.Defer
 	}
+	state.leases.StartTerm(state.raft.Term())
 	locks := p.state.onLoop(state).store.Coordination().Locks
 	return state.leases.Prepare(p.now(), cmd, locks)
 }
--- a/registry/simulation_test.go
+++ b/registry/simulation_test.go
@@ -344,6 +344,7 @@
 	cmd := x.command
 	r := sim.cluster.Nodes[id].StateMachine.(*replica)
 	if cmd.Coordination != nil {
+		r.leases.StartTerm(sim.cluster.Nodes[id].Raft.Term())
 		var decision coordination.Decision
 		cmd.Coordination, decision = r.leases.Prepare(sim.now(), cmd.Coordination, r.store.Coordination().Locks)
 		isRelease := cmd.Coordination.Operation == coordination.ReleaseLock
