--- a/coordination/table.go
+++ b/coordination/table.go
@@ -2,15 +2,16 @@
 // plane offers its clients: locks with fencing tokens, sequences, and cells, which
 // are compare-and-set registers whose writes can be watched in groups.
 //
-// It is a deterministic state machine without a clock. A lease is timed outside: each
-// replica starts its own timer when it applies a grant, and an acquisition that takes a
-// lock over names the grant whose lease expired by its proposer's timer. The state only
-// checks that this grant is still the newest one, so a renewal that is committed first
-// wins. Replicas that apply the same commands in the same order hold the same state.
+// A Table is a deterministic state machine without a clock. A lease is timed beside it, by
+// the LeaseTimers of each replica: a timer starts when the replica applies a grant, and an
+// acquisition that takes a lock over names the grant whose lease expired by its proposer's
+// timer. The state only checks that this grant is still the newest one, so a renewal that is
+// committed first wins. Replicas that apply the same commands in the same order hold the
+// same state.
 //
 // The package does no input or output, reads no clock and starts no goroutine. A
 // Table is part of the state of package registry, which applies the commands;
-// internal/controlplane times the leases and serves reads and watches.
+// internal/controlplane drives the LeaseTimers and serves reads and watches.
 package coordination
 
 import (
