--- a/coordination/lease_timers.go
+++ b/coordination/lease_timers.go
@@ -3,7 +3,7 @@
 import "time"
 
 // MaxCallDelay is the longest time for which a call is expected to be on its way after its
-// caller has given it up: the time that a TCP segment may be (RFC 9293, section 3.4.1).
+// caller has given it up: the maximum lifetime of a TCP segment (RFC 9293, section 3.4.1).
 const MaxCallDelay = 2 * time.Minute
 
 // LeaseTimers is what one replica knows of the locks of a Table beside its state: which
