--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,8 @@
 #!/bin/sh
 # Plays this case and writes record.txt beside this file. Exit code: 1 if the rule was broken,
 # 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# SEEDS=disk has all first seed nodes on machines with a disk, SEEDS=one all but one; WIPE=1 takes the
+# disk of one machine at the kill.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases ] || { echo "build first: review/build.sh" >&2; exit 2; }
-exec target/review/cases sigterm review/1
+exec target/review/cases seeds review/1
--- a/review/testdata/cases/fleet.go
+++ b/review/testdata/cases/fleet.go
@@ -92,6 +92,9 @@
 	// diskless is how many of the last machines have no disk, and edgeOnly how many of these
 	// run no control-plane node; the others have a relay.
 	diskless, edgeOnly int
+	// seeds are the machines whose control-plane nodes are the seed nodes; the first three if there
+	// are none.
+	seeds []int
 }
 
 // fleet is a small deployment. Every machine runs a proxy, and all but the last ones a
@@ -190,7 +193,7 @@
 	}
 	var seeds, zones []string
 	for i, zone := range f.zones {
-		if i < 3 {
+		if len(f.seeds) == 0 && i < 3 || slices.Contains(f.seeds, i) {
 			seeds = append(seeds, fmt.Sprintf("%q", f.controlAddr(i)))
 		}
 		if !slices.Contains(f.zones[:i], zone) {
