--- a/review/testdata/cases/routenames.go
+++ b/review/testdata/cases/routenames.go
@@ -17,6 +17,8 @@
 	stormGap    = 150 * time.Millisecond
 	stormPause  = time.Second
 	bigRoutes   = 1640
+	// ordersAtOnce is how many orders are under way at most, as the pages have it.
+	ordersAtOnce = 8
 	// memoryMB is memory_mb of the settings. A process that goes over it is killed.
 	memoryMB = 184
 	// killsThatBreak on machinesThatBreak machines are what the rule calls a fault.
@@ -51,29 +53,39 @@
 		helpers.Go(func() { askSteadily(r, machine, ended, &cut, &answered) })
 	}
 
-	version, acknowledged := 1, 0
+	version := 1
+	var acknowledged counter
+	var orders sync.WaitGroup
+	underWay := make(chan struct{}, ordersAtOnce)
 	for !p.isFault() && time.Since(r.began) < stormsEnd-stormLength {
 		began := time.Now()
 		for next := began; time.Since(began) < stormLength; time.Sleep(time.Until(next)) {
 			next = next.Add(stormGap)
 			version++
+			order := version
 			names := 0
 			if r.isTrouble {
 				names = version
 			}
-			if status, _, err := f.call(version%len(f.zones), "configuration.replace", "", largeConfiguration(version, names)); status == http.StatusOK {
-				acknowledged++
-			} else {
-				r.detail("version %d: status %d, error %v", version, status, err)
-			}
+			underWay <- struct{}{}
+			orders.Go(func() {
+				defer func() { <-underWay }()
+				status, _, err := f.call(order%len(f.zones), "configuration.replace", "", largeConfiguration(order, names))
+				if status == http.StatusOK {
+					acknowledged.add()
+				} else {
+					r.detail("version %d: status %d, error %v", order, status, err)
+				}
+			})
 		}
 		time.Sleep(stormPause)
 		r.note("version %d: memory of the proxies in MB %v, killed for it so far %v", version, p.memory(), p.killed())
 	}
+	orders.Wait()
 	close(ended)
 	helpers.Wait()
 	r.note("%d changes acknowledged; most memory of a proxy in MB, by machine: %v; killed for their memory: %v; requests answered %d, broken off without an answer %d",
-		acknowledged, p.peaks(), p.killed(), answered.value(), cut.value())
+		acknowledged.value(), p.peaks(), p.killed(), answered.value(), cut.value())
 	return p.isFault()
 }
 
