--- a/review/testdata/cases/takenback.go
+++ b/review/testdata/cases/takenback.go
@@ -91,10 +91,15 @@
 // order sends an order for the evacuated zone to the first address, and again to the others in turn until
 // it is acknowledged.
 func (f *fleet) order(r *run, operator, call string, first string, others ...string) {
+	f.orderZone(r, operator, call, evacuated, first, others...)
+}
+
+// orderZone is order for any zone.
+func (f *fleet) orderZone(r *run, operator, call, zone string, first string, others ...string) {
 	addresses := append([]string{first}, others...)
 	for try := range 4 {
-		status, _, err := f.callAt(addresses[min(try, len(addresses)-1)], call, evacuated, "")
-		r.note("%s sends %s of %s: status %d, error %v", operator, call, evacuated, status, err)
+		status, _, err := f.callAt(addresses[min(try, len(addresses)-1)], call, zone, "")
+		r.note("%s sends %s of %s: status %d, error %v", operator, call, zone, status, err)
 		if status/100 == 2 {
 			return
 		}
