--- a/internal/controlplane/membership_manager.go
+++ b/internal/controlplane/membership_manager.go
@@ -13,6 +13,10 @@
 // the membership.
 const membershipCheckHeartbeats = 4
 
+// transferRetryTimeouts is how many election time-outs pass between two attempts to transfer
+// the leadership.
+const transferRetryTimeouts = 2
+
 // membershipManager keeps the group's membership in order while this node leads, admits
 // nodes and approves their departure, and makes this node itself join and leave the
 // group.
@@ -21,12 +25,17 @@
 	loop      *eventLoop
 	peers     *peerPool
 	consensus *consensusView
+	formation formation
 
 	mu sync.Mutex
 	// seeds are the API addresses of the settings as they were last read.
 	seeds []string
 	// announcedNodes are the members of the group as a relay or an announcer named them last.
 	announcedNodes []transport.ControlNode
+
+	// notNeeded is closed once the group has rejected this node, see Node.NotNeeded.
+	notNeeded     chan struct{}
+	notNeededOnce sync.Once
 }
 
 // membershipSchedule is the planner and when it is next asked, see loopState.
@@ -36,6 +45,8 @@
 	// isCheckDue has the membership checked at the next tick, as after a change of
 	// it: a replacement takes two.
 	isCheckDue bool
+	// handedOverAt is when this node last tried to transfer its leadership to a voter with a disk.
+	handedOverAt time.Duration
 }
 
 // failureDomainOf returns what of a member may be lost at once besides machines: its
@@ -63,6 +74,9 @@
 	}
 	schedule.checkedAt = now
 	schedule.isCheckDue = false
+	if m.handOver(state, now) {
+		return
+	}
 	next, reason := schedule.planner.nextChange(state.raft, now)
 	if reason == "" {
 		return
@@ -72,6 +86,18 @@
 	}
 }
 
+// handOver transfers the leadership to a voter with a disk if this node has none. In between the
+// attempts the group goes on under this leader for a while.
+func (m *membershipManager) handOver(state *loopState, now time.Duration) bool {
+	schedule := &state.membership
+	isWaiting := schedule.handedOverAt != 0 && now-schedule.handedOverAt < transferRetryTimeouts*m.timing.ElectionTimeout
+	if isWaiting || !schedule.planner.mustHandOver(state.raft, now) {
+		return false
+	}
+	schedule.handedOverAt = now
+	return state.raft.TransferLeadership()
+}
+
 // recordChange follows an applied change of the membership.
 func (m *membershipManager) recordChange(state *loopState, index uint64) {
 	state.membership.isCheckDue = true
@@ -80,34 +106,43 @@
 }
 
 // joinIfNeeded asks to be admitted if this node is no member or may have been
-// replaced, as a voter that has been without a leader for long.
+// replaced, as a voter that has been without a leader for long, or retired, as one without
+// a leader that has no disk. A member that the membership does not describe, as it is a seed or began under an older version, describes itself to the
+// leader by the same request.
 func (m *membershipManager) joinIfNeeded(state *loopState, now time.Duration) {
 	membership := state.raft.Membership()
 	if !membership.IsMember(m.self.ID) {
-		m.requestJoin(membership)
+		m.requestJoin(m.knownAddrs(membership))
 		return
 	}
-	if state.raft.LeaderID() != 0 {
+	if leaderID := state.raft.LeaderID(); leaderID != 0 {
+		if !isDescribed(membership, m.self) {
+			m.requestJoin([]string{m.peers.addrOf(leaderID)})
+		}
 		return
 	}
 	isIsolated := now-state.raft.LastQuorumContact() > m.timing.DeadMemberTimeout
-	if !membership.IsVoter(m.self.ID) || isIsolated {
-		m.requestJoin(membership)
+	mayBeRetired := m.self.Storage == raft.StorageMemory
+	if !membership.IsVoter(m.self.ID) || isIsolated || mayBeRetired {
+		m.requestJoin(m.knownAddrs(membership))
 	}
 }
 
-// requestJoin asks every control-plane node that is known to admit this one.
-func (m *membershipManager) requestJoin(membership raft.Membership) {
+// requestJoin asks control-plane nodes to admit this one.
+func (m *membershipManager) requestJoin(addrs []string) {
 	self := m.self
-	hasAsked := map[string]bool{self.Addr: true}
-	for _, addr := range m.knownAddrs(membership) {
+	hasAsked := map[string]bool{self.Addr: true, "": true}
+	for _, addr := range addrs {
 		if hasAsked[addr] {
 			continue
 		}
 		hasAsked[addr] = true
 		m.start(func() {
 			// Without a response it is asked again with the next periodic tasks.
-			_, _, _ = m.peers.call(callTarget{addr: addr}, &transport.Request{Join: &self}, m.timing.ElectionTimeout)
+			response, _, err := m.peers.call(callTarget{addr: addr}, &transport.Request{Join: &self}, m.timing.ElectionTimeout)
+			if err == nil && response.Failed && response.Kind == errCoreHasDisks.Kind {
+				m.notNeededOnce.Do(func() { close(m.notNeeded) })
+			}
 		})
 	}
 }
@@ -153,6 +188,11 @@
 	m.announcedNodes = nodes
 }
 
+// isCoreDiskless reports whether nodes without a disk have to take part in the group.
+func (m *membershipManager) isCoreDiskless() bool {
+	return m.formation.isDiskless(m.consensus.get().membership, m.now())
+}
+
 func (m *membershipManager) setSeeds(seeds []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -160,18 +200,23 @@
 	m.logger.Info("settings reloaded", "seeds", seeds)
 }
 
-// admitLearner makes a node a learner. Only the leader can; it returns once the
-// change is proposed.
+// admitLearner makes a node a learner, or records what a member says of itself. Only the
+// leader can; it returns once the change is proposed.
 func (m *membershipManager) admitLearner(member raft.Member) error {
 	return m.callLeaderLoop(func(state *loopState) error {
 		membership := state.raft.Membership()
-		if membership.IsMember(member.ID) {
+		if isDescribed(membership, member) {
 			return nil
 		}
-		if err := state.raft.ProposeConfChange(membership.WithLearner(member)); err != nil {
+		next, err := admit(membership, member, state.raft.HasPendingConfChange())
+		if err != nil {
+			return err
+		}
+		if err := state.raft.ProposeConfChange(next); err != nil {
 			return apierror.New(apierror.Unavailable, "%v", err)
 		}
-		m.logger.Info("node joins as a learner", "member", formatMemberID(member.ID), "address", member.Addr)
+		m.logger.Info("node joins or describes itself", "member", formatMemberID(member.ID),
+			"address", member.Addr, "storage", member.Storage.String(), "joins", !membership.IsMember(member.ID))
 		return nil
 	})
 }
@@ -212,7 +257,7 @@
 		case status.role == raft.Leader && len(status.membership.Voters) == 1:
 			return // nobody could take over
 		case status.role == raft.Leader:
-			if time.Since(transferredAt) > 2*m.timing.ElectionTimeout {
+			if time.Since(transferredAt) > transferRetryTimeouts*m.timing.ElectionTimeout {
 				transferredAt = time.Now()
 				m.loop.post(func(state *loopState) { state.raft.TransferLeadership() })
 			}
--- a/internal/controlplane/membership_planner.go
+++ b/internal/controlplane/membership_planner.go
@@ -11,7 +11,11 @@
 // it plans changes of membership. It does no input or output, so that it runs
 // under the simulator as well. It is part of loopState.
 type membershipPlanner struct {
+	// self is the member whose planner this is.
+	self      raft.Member
 	tolerance faultTolerance
+	// formation tells when the group has formed.
+	formation formation
 	// deadMemberTimeout is how long a voter may go unheard before it is replaced.
 	deadMemberTimeout time.Duration
 	// catchUpWindow is the age from which on entries must be held to be caught up.
@@ -40,13 +44,11 @@
 	commitIndex     uint64 // at the first request
 }
 
-func newMembershipPlanner(set *settings.Settings, timing Timing, failureDomainOf func(raft.Member) string) *membershipPlanner {
-	tolerance := faultTolerance{
-		machines:       set.FaultTolerance.Machines,
-		failureDomains: max(set.FaultTolerance.Zones, set.FaultTolerance.Regions),
-	}
+func newMembershipPlanner(self raft.Member, set *settings.Settings, timing Timing, failureDomainOf func(raft.Member) string) *membershipPlanner {
 	return &membershipPlanner{
-		tolerance:         tolerance,
+		self:              self,
+		tolerance:         newFaultTolerance(set),
+		formation:         newFormation(set),
 		deadMemberTimeout: timing.DeadMemberTimeout,
 		catchUpWindow:     timing.ElectionTimeout,
 		leaveRequestTTL:   timing.ConnectionTimeout,
@@ -119,6 +121,9 @@
 	if node.HasPendingConfChange() {
 		return raft.Membership{}, ""
 	}
+	if membership := node.Membership(); !isDescribed(membership, p.self) {
+		return membership.WithDescription(p.self), "the leader describes itself"
+	}
 	return nextMembership(node.Membership(), node.ID(), p.tolerance, p.assessMembers(node, now))
 }
 
@@ -137,3 +142,28 @@
 	}
 	return canLeave(node.Membership(), node.ID(), id, p.tolerance, request.commitIndex, p.assessMembers(node, now))
 }
+
+// takesChanges reports whether node, which leads, may write changes to the log now: those that it
+// acknowledges have to outlast what the group must be able to lose.
+func (p *membershipPlanner) takesChanges(node *raft.Node, now time.Duration) bool {
+	return p.formation.isComplete(node.Membership(), now, func() func(raft.Member) memberHealth {
+		return p.assessMembers(node, now)
+	})
+}
+
+// mustHandOver reports whether node, which leads and keeps its log in memory, has to transfer its
+// leadership to a voter with a disk.
+func (p *membershipPlanner) mustHandOver(node *raft.Node, now time.Duration) bool {
+	membership := node.Membership()
+	self, _ := membership.Find(node.ID())
+	if self.Storage != raft.StorageMemory {
+		return false
+	}
+	health := p.assessMembers(node, now)
+	for _, m := range membership.Voters {
+		if m.Storage == raft.StorageDisk && health(m).isServing() && health(m).isCaughtUp {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/controlplane/membership_rules.go
+++ b/internal/controlplane/membership_rules.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"lichentray/internal/settings"
 	"lichentray/raft"
 )
 
@@ -11,6 +12,13 @@
 	failureDomains int
 }
 
+func newFaultTolerance(set *settings.Settings) faultTolerance {
+	return faultTolerance{
+		machines:       set.FaultTolerance.Machines,
+		failureDomains: max(set.FaultTolerance.Zones, set.FaultTolerance.Regions),
+	}
+}
+
 // preferredVoters bounds the voters where the tolerance asks for fewer: each
 // further voter costs latency at every commit and bears no loss that the
 // deployment asks for.
@@ -85,8 +93,8 @@
 	serving       int // voters that serve
 	acknowledging int // voters that count towards a majority now
 
-	// departing is the voter that loses its vote first, as it is replaced, dead or
-	// leaving; nil if all voters serve. notServing is how many do not.
+	// departing is the voter that loses its vote first, as it is replaced, dead, leaving or
+	// retiring; nil if all voters but the leader serve. notServing is how many do not.
 	departing  *raft.Member
 	notServing int
 
@@ -97,6 +105,11 @@
 	// given up for the latter, so that a learner that lags for a moment moves nothing.
 	targetVoters   int
 	eventualTarget int
+	// hasDiskMember reports whether some member keeps its log on a disk: then none that keeps
+	// it in memory gains a vote. retiresMemory reports whether one of those serves and holds
+	// the log: then those that keep it in memory lose their votes.
+	hasDiskMember bool
+	retiresMemory bool
 	// domainLimit is how many votes one failure domain may hold.
 	domainLimit int
 	// candidate is the learner that votes next, nil if none can.
@@ -112,6 +125,7 @@
 		voters:        len(current.Voters),
 		votesByDomain: map[string]int{},
 	}
+	a.assessStorage()
 	a.assessVoters()
 	a.assessTargets()
 	a.domainLimit = tolerance.maxVotersPerDomain(max(a.targetVoters, a.voters-1+a.voters%2))
@@ -119,18 +133,55 @@
 	return a
 }
 
+func (a *membershipAssessment) assessStorage() {
+	for _, m := range a.current.AllMembers() {
+		if m.Storage != raft.StorageDisk {
+			continue
+		}
+		a.hasDiskMember = true
+		health := a.healthOf(m)
+		if health.isServing() && (a.current.IsVoter(m.ID) || health.isCaughtUp) {
+			a.retiresMemory = true
+		}
+	}
+}
+
+// mustRetire reports whether a member leaves the group because it keeps its log in memory
+// beside others that have disks: a restart of its process would take back what it has
+// acknowledged. A leader hands its leadership on first, see membershipPlanner.mustHandOver.
+func (a *membershipAssessment) mustRetire(m raft.Member) bool {
+	return a.retiresMemory && m.Storage == raft.StorageMemory
+}
+
+// isServing reports whether the group may count on a voter from now on.
+func (a *membershipAssessment) isServing(m raft.Member) bool {
+	return a.healthOf(m).isServing() && !a.mustRetire(m)
+}
+
+// mayEverVote reports whether a learner could be given a vote once it has caught up. One that
+// does not count for the tolerance votes only while voters are lacking.
+func (a *membershipAssessment) mayEverVote(m raft.Member) bool {
+	if m.Storage == raft.StorageMemory && a.hasDiskMember {
+		return false
+	}
+	return !m.Uncounted || a.voters < a.tolerance.minVoters()
+}
+
 func (a *membershipAssessment) assessVoters() {
 	for i, m := range a.current.Voters {
 		health := a.healthOf(m)
 		if health.isAcknowledging() {
 			a.acknowledging++
 		}
-		if health.isServing() {
+		if a.isServing(m) {
 			a.serving++
 			a.votesByDomain[health.failureDomain]++
 			continue
 		}
 		a.notServing++
+		if m.ID == a.self {
+			continue
+		}
 		if a.departing == nil || health.removalUrgency() > a.healthOf(*a.departing).removalUrgency() {
 			a.departing = &a.current.Voters[i]
 		}
@@ -146,7 +197,7 @@
 	}
 	for _, m := range a.current.Learners {
 		health := a.healthOf(m)
-		if m.Uncounted || !health.isServing() {
+		if m.Uncounted || !a.mayEverVote(m) || !health.isServing() {
 			continue
 		}
 		eligibleSoon[health.failureDomain]++
@@ -169,21 +220,32 @@
 	}
 }
 
-// canVote reports whether a learner may be given a vote. One that does not count
-// for the tolerance votes only while voters are lacking.
+// canVote reports whether a learner may be given a vote now.
 func (a *membershipAssessment) canVote(m raft.Member) bool {
+	return a.isReadyToVote(m) && a.votesByDomain[a.healthOf(m).failureDomain] < a.domainLimit
+}
+
+// isReadyToVote is canVote but for the limit of the learner's failure domain.
+func (a *membershipAssessment) isReadyToVote(m raft.Member) bool {
 	health := a.healthOf(m)
-	if m.Uncounted && a.voters >= a.tolerance.minVoters() {
-		return false
+	return a.mayEverVote(m) && health.isServing() && health.isCaughtUp
+}
+
+// canReplace reports whether a learner may vote in place of a voter.
+func (a *membershipAssessment) canReplace(voter, learner raft.Member) bool {
+	domain := a.healthOf(learner).failureDomain
+	votes := a.votesByDomain[domain]
+	if a.healthOf(voter).failureDomain == domain {
+		votes--
 	}
-	return health.isServing() && health.isCaughtUp && a.votesByDomain[health.failureDomain] < a.domainLimit
+	return a.isReadyToVote(learner) && votes < a.domainLimit
 }
 
-// isBetterCandidate prefers members that count for the tolerance, then those of the
+// isBetterCandidate prefers members whose copy of the log outlasts more, then those of the
 // failure domain with fewer votes, then those that hold more of the log.
 func (a *membershipAssessment) isBetterCandidate(m, than raft.Member) bool {
-	if m.Uncounted != than.Uncounted {
-		return !m.Uncounted
+	if durability, other := durabilityOf(m), durabilityOf(than); durability != other {
+		return durability > other
 	}
 	health := a.healthOf(m)
 	other := a.healthOf(than)
@@ -211,19 +273,21 @@
 
 // canRemoveDeparting reports whether the departing voter may lose its vote: the
 // others must be a majority that acknowledges, of as many voters as the tolerance
-// asks for, unless the majority serves anyway.
+// asks for, unless the majority serves anyway or the departing one keeps its log in memory.
 func (a *membershipAssessment) canRemoveDeparting() bool {
-	if a.departing == nil {
+	if a.departing == nil || !a.hasMajorityWithout(*a.departing) {
 		return false
 	}
+	return a.voters > a.tolerance.minVoters() || a.serving > a.voters/2 || a.mustRetire(*a.departing)
+}
+
+// hasMajorityWithout reports whether a majority acknowledges once a voter has lost its vote.
+func (a *membershipAssessment) hasMajorityWithout(voter raft.Member) bool {
 	remaining := a.acknowledging
-	if a.healthOf(*a.departing).isAcknowledging() {
+	if a.healthOf(voter).isAcknowledging() {
 		remaining--
 	}
-	if remaining <= (a.voters-1)/2 {
-		return false
-	}
-	return a.voters > a.tolerance.minVoters() || a.serving > a.voters/2
+	return remaining > (a.voters-1)/2
 }
 
 // membershipChange is one step of one voter at most, as single-server changes are
@@ -241,8 +305,10 @@
 var membershipRules = []membershipRule{
 	removeDepartingOfEvenVoters,
 	promoteLearner,
+	retireMemoryVoter,
 	shrinkByTwoDeparting,
 	demoteSpareVoter,
+	replaceWeakVoter,
 	removeLostLearner,
 }
 
@@ -264,7 +330,7 @@
 	if !a.isVoterCountEven() || !a.canRemoveDeparting() {
 		return membershipChange{}, false
 	}
-	return a.removeDeparting(), true
+	return a.remove(*a.departing), true
 }
 
 // promoteLearner: a learner that has caught up votes if a voter does not serve, if
@@ -274,7 +340,7 @@
 	if a.candidate == nil {
 		return membershipChange{}, false
 	}
-	isNeeded := a.departing != nil ||
+	isNeeded := a.notServing > 0 ||
 		a.voters < a.targetVoters ||
 		(a.exceedsDomainLimit() && !a.isVoterCountEven())
 	if !isNeeded {
@@ -283,6 +349,17 @@
 	return membershipChange{a.current.WithVoter(*a.candidate), "learner promoted to voter"}, true
 }
 
+// retireMemoryVoter: a voter that keeps its log in memory leaves the group beside members with a
+// disk, also where nobody takes its place.
+func retireMemoryVoter(a *membershipAssessment) (membershipChange, bool) {
+	for _, m := range a.current.Voters {
+		if m.ID != a.self && a.mustRetire(m) && a.hasMajorityWithout(m) {
+			return a.remove(m), true
+		}
+	}
+	return membershipChange{}, false
+}
+
 // shrinkByTwoDeparting: when two voters do not serve and nobody takes their place,
 // both go, one after the other: three voters of which all serve bear a loss, five of
 // which three serve bear none.
@@ -290,47 +367,82 @@
 	if a.notServing < 2 || a.voters < a.tolerance.minVoters()+2 || !a.canRemoveDeparting() {
 		return membershipChange{}, false
 	}
-	return a.removeDeparting(), true
+	return a.remove(*a.departing), true
 }
 
 // demoteSpareVoter: of an even number of voters that all serve one becomes a
 // learner, unless a learner is about to make the number odd.
 func demoteSpareVoter(a *membershipAssessment) (membershipChange, bool) {
-	if a.departing != nil || !a.isVoterCountEven() || a.voters <= a.eventualTarget {
+	if a.notServing > 0 || !a.isVoterCountEven() || a.voters <= a.eventualTarget {
 		return membershipChange{}, false
 	}
 	return membershipChange{a.current.WithLearner(a.chooseSpare()), "spare voter demoted to learner"}, true
 }
 
+// replaceWeakVoter: a learner that outlasts more than a voter does votes in its place. The voter
+// becomes a learner with the next step, by demoteSpareVoter. Such a voter is one that does not count
+// for the tolerance, or a seed without a disk whose program is too old to say so.
+func replaceWeakVoter(a *membershipAssessment) (membershipChange, bool) {
+	if a.notServing > 0 || a.isVoterCountEven() || a.voters == 1 {
+		return membershipChange{}, false
+	}
+	weakest := a.chooseSpare()
+	for _, m := range a.current.Learners {
+		if durabilityOf(m) > durabilityOf(weakest) && a.canReplace(weakest, m) {
+			return membershipChange{a.current.WithVoter(m), "learner promoted in place of a weaker voter"}, true
+		}
+	}
+	return membershipChange{}, false
+}
+
+// durabilityOf orders members by what their copy of the log outlasts. To count for the tolerance
+// weighs more than a disk.
+func durabilityOf(m raft.Member) int {
+	durability := 0
+	if !m.Uncounted {
+		durability += 2
+	}
+	if m.Storage == raft.StorageDisk {
+		durability++
+	}
+	return durability
+}
+
 // removeLostLearner: a learner leaves the group when a newer incarnation of it is
-// heard, or when it has not been heard for long.
+// heard, when it has not been heard for long, or when it keeps its log in memory and is
+// not needed.
 func removeLostLearner(a *membershipAssessment) (membershipChange, bool) {
 	for _, m := range a.current.Learners {
 		health := a.healthOf(m)
 		if health.isReplaced || health.isExpired {
 			return membershipChange{a.current.Without(m.ID), "lost learner removed"}, true
 		}
+		if a.mustRetire(m) {
+			return membershipChange{a.current.Without(m.ID), "learner without a disk removed"}, true
+		}
 	}
 	return membershipChange{}, false
 }
 
-// removeDeparting takes the vote of the departing voter. A replaced one leaves the
-// group, any other stays as a learner, as it may come back.
-func (a *membershipAssessment) removeDeparting() membershipChange {
-	m := *a.departing
+// remove takes the vote of a voter that does not serve. A replaced one leaves the
+// group, and so does one that keeps its log in memory beside members with a disk. Any other
+// stays as a learner, as it may come back.
+func (a *membershipAssessment) remove(m raft.Member) membershipChange {
 	health := a.healthOf(m)
 	switch {
 	case health.isReplaced:
 		return membershipChange{a.current.Without(m.ID), "replaced voter removed"}
+	case a.mustRetire(m):
+		return membershipChange{a.current.Without(m.ID), "voter without a disk removed"}
 	case !health.isAlive:
 		return membershipChange{a.current.WithLearner(m), "dead voter demoted to learner"}
 	}
 	return membershipChange{a.current.WithLearner(m), "leaving voter demoted to learner"}
 }
 
-// chooseSpare returns the voter that the group misses least: of the failure domain with
-// the most votes the one that holds the least of the log, and never the leader. There
-// must be another voter than the leader.
+// chooseSpare returns the voter that the group misses least: one whose copy of the log outlasts
+// least, of those of the failure domain with the most votes, of those the one that holds the
+// least of the log, and never the leader. There must be another voter than the leader.
 func (a *membershipAssessment) chooseSpare() raft.Member {
 	var spare *raft.Member
 	for i, m := range a.current.Voters {
@@ -345,6 +457,9 @@
 }
 
 func (a *membershipAssessment) isMoreSpare(m, than raft.Member) bool {
+	if durability, other := durabilityOf(m), durabilityOf(than); durability != other {
+		return durability < other
+	}
 	health := a.healthOf(m)
 	other := a.healthOf(than)
 	votes := a.votesByDomain[health.failureDomain]
@@ -360,14 +475,14 @@
 // these must be a majority, and without the member the group must bear what it is to
 // bear, unless nobody is there to take over its vote.
 func canLeave(current raft.Membership, self, id uint64, tolerance faultTolerance, commitIndex uint64, healthOf func(raft.Member) memberHealth) bool {
+	assessment := assessMembership(current, self, tolerance, healthOf)
 	serving := 0
 	for _, m := range current.Voters {
-		health := healthOf(m)
-		if m.ID == id || !health.isServing() {
+		if m.ID == id || !assessment.isServing(m) {
 			continue
 		}
 		serving++
-		if health.matchIndex < commitIndex {
+		if healthOf(m).matchIndex < commitIndex {
 			return false
 		}
 	}
@@ -383,7 +498,7 @@
 		return false
 	}
 	for _, m := range current.Learners {
-		if healthOf(m).isServing() && (!m.Uncounted || voters < tolerance.minVoters()) {
+		if healthOf(m).isServing() && assessment.mayEverVote(m) {
 			return false // it will vote instead
 		}
 	}
--- a/internal/controlplane/membership_test.go
+++ b/internal/controlplane/membership_test.go
@@ -13,9 +13,11 @@
 )
 
 // TestNextMembershipAgainstModel compares the changes, made until there is nothing left to
-// change, with a slow plain model that tries every set of voters.
+// change, with a slow plain model that tries every set of voters. In the later half of the seeds some
+// members keep their logs in memory, and none of them but the leader may vote beside a disk.
 func TestNextMembershipAgainstModel(t *testing.T) {
-	for seed := range int64(20000) {
+	const seeds = 40000
+	for seed := range int64(seeds) {
 		r := rand.New(rand.NewSource(seed))
 		tol := faultTolerance{machines: 1 + r.Intn(2), failureDomains: r.Intn(2)}
 		of := map[uint64]memberHealth{}
@@ -33,6 +35,9 @@
 				s.isReplaced = r.Intn(3) == 0
 			}
 			m := raft.Member{ID: id, Uncounted: r.Intn(6) == 0}
+			if seed >= seeds/2 {
+				m.Storage = []raft.Storage{raft.StorageDisk, raft.StorageMemory}[r.Intn(2)]
+			}
 			if id == 1 {
 				s = memberHealth{isAlive: true, isCaughtUp: true, failureDomain: "0"}
 			}
@@ -59,6 +64,13 @@
 			continue // nobody leads such a group
 		}
 		start := ms
+		hasDisk, knowsDisk := false, false
+		for _, m := range ms.AllMembers() {
+			s := of[m.ID]
+			knowsDisk = knowsDisk || m.Storage == raft.StorageDisk
+			hasDisk = hasDisk || (m.Storage == raft.StorageDisk && s.isServing() && (ms.IsVoter(m.ID) || s.isCaughtUp))
+		}
+		mayVote := func(m raft.Member) bool { return m.ID == 1 || !hasDisk || m.Storage != raft.StorageMemory }
 		for step := 0; ; step++ {
 			next, why := nextMembership(ms, 1, tol, get)
 			if why == "" {
@@ -68,6 +80,9 @@
 			for _, m := range append(ms.AllMembers(), next.AllMembers()...) {
 				if ms.IsVoter(m.ID) != next.IsVoter(m.ID) {
 					moved++
+					if next.IsVoter(m.ID) && m.Storage == raft.StorageMemory && countStorage(ms.AllMembers(), raft.StorageDisk) > 0 {
+						t.Fatalf("seed %d: a node without a disk gains a vote: from %+v to %+v", seed, ms, next)
+					}
 					if m.Uncounted && next.IsVoter(m.ID) && len(ms.Voters) >= tol.minVoters() {
 						t.Fatalf("seed %d: an uncounted node votes without need", seed)
 					}
@@ -78,11 +93,17 @@
 			}
 			ms = next
 		}
+		for _, m := range ms.Voters {
+			rest := ms.Without(m.ID)
+			if _, alive := acks(rest); !mayVote(m) && alive > len(rest.Voters)/2 {
+				t.Fatalf("seed %d: a node without a disk keeps its vote: from %+v to %+v", seed, start, ms)
+			}
+		}
 		// The model: any odd set that a leader could choose from those that serve.
 		best := -1
 		var ids []uint64
 		for _, m := range start.AllMembers() {
-			if s := of[m.ID]; s.isServing() && (start.IsVoter(m.ID) || (s.isCaughtUp && !m.Uncounted)) {
+			if s := of[m.ID]; s.isServing() && mayVote(m) && (start.IsVoter(m.ID) || (s.isCaughtUp && !m.Uncounted && !(knowsDisk && m.Storage == raft.StorageMemory))) {
 				ids = append(ids, m.ID)
 			}
 		}
@@ -177,6 +198,13 @@
 	membershipCheckedAt time.Duration
 	lastCommand         uint64
 	acknowledged        []uint64
+
+	// storages are where the members keep their logs, unknown where nothing is said.
+	storages map[uint64]raft.Storage
+	// formation is that of every member.
+	formation formation
+	// notNeeded are the nodes that the group has rejected for good.
+	notNeeded map[uint64]bool
 }
 
 const (
@@ -186,7 +214,22 @@
 )
 
 func newSimulatedCore(t *testing.T, seed int64, n int) *simulatedCore {
-	c := &simulatedCore{Cluster: rafttest.NewCluster(seed, 3, func() rafttest.StateMachine { return commandSet{} }), t: t, seed: seed, planners: map[uint64]*membershipPlanner{}, addrs: map[uint64]string{}}
+	c := startSimulatedCore(t, seed, n)
+	c.runFor(simCatchUpTime)
+	return c
+}
+
+// startSimulatedCore starts n nodes, the first three of which are the seeds.
+func startSimulatedCore(t *testing.T, seed int64, n int) *simulatedCore {
+	c := &simulatedCore{
+		Cluster:   rafttest.NewCluster(seed, 3, func() rafttest.StateMachine { return commandSet{} }),
+		t:         t,
+		seed:      seed,
+		planners:  map[uint64]*membershipPlanner{},
+		addrs:     map[uint64]string{},
+		storages:  map[uint64]raft.Storage{},
+		notNeeded: map[uint64]bool{},
+	}
 	for id := uint64(1); id <= uint64(n); id++ {
 		if id > 3 {
 			c.Add(id)
@@ -194,7 +237,6 @@
 		c.addrs[id] = fmt.Sprint("node-", id)
 	}
 	c.lastID = uint64(n)
-	c.runFor(simCatchUpTime)
 	return c
 }
 
@@ -222,27 +264,52 @@
 		}
 		c.membershipCheckedAt = c.Now
 		n := lead.Raft
+		if c.plannerOf(n).mustHandOver(n, c.Now) && n.TransferLeadership() {
+			continue
+		}
 		if next, why := c.plannerOf(n).nextChange(n, c.Now); why != "" {
 			_ = n.ProposeConfChange(next)
 			continue
 		}
-		for _, id := range c.IDs() {
-			if c.IsUp(id) && !n.Membership().IsMember(id) {
-				_ = n.ProposeConfChange(n.Membership().WithLearner(raft.Member{ID: id, Addr: c.addrs[id]}))
-				break
-			}
+		c.admitOne(n)
+	}
+}
+
+// admitOne lets one node ask the leader n to be admitted, or to be described.
+func (c *simulatedCore) admitOne(n *raft.Node) {
+	for _, id := range c.IDs() {
+		member := c.member(id)
+		if !c.IsUp(id) || c.IsFrozen(id) || c.notNeeded[id] || isDescribed(n.Membership(), member) {
+			continue
 		}
+		next, err := admit(n.Membership(), member, n.HasPendingConfChange())
+		if err == errCoreHasDisks {
+			c.notNeeded[id] = true
+			continue
+		}
+		if err == nil {
+			_ = n.ProposeConfChange(next)
+		}
+		return
 	}
 }
 
+// member is what a node says of itself.
+func (c *simulatedCore) member(id uint64) raft.Member {
+	return raft.Member{ID: id, Addr: c.addrs[id], Storage: c.storages[id]}
+}
+
 func (c *simulatedCore) plannerOf(n *raft.Node) *membershipPlanner {
 	if c.planners[n.ID()] == nil {
-		c.planners[n.ID()] = &membershipPlanner{tolerance: faultTolerance{machines: 1}, deadMemberTimeout: simDeadMemberTimeout, catchUpWindow: simElectionTimeout, leaveRequestTTL: simDeadMemberTimeout / 2, learnerExpiry: 4 * simCatchUpTime, failureDomainOf: func(raft.Member) string { return "" }}
+		c.planners[n.ID()] = &membershipPlanner{self: c.member(n.ID()), formation: c.formation, tolerance: faultTolerance{machines: 1}, deadMemberTimeout: simDeadMemberTimeout, catchUpWindow: simElectionTimeout, leaveRequestTTL: simDeadMemberTimeout / 2, learnerExpiry: 4 * simCatchUpTime, failureDomainOf: func(raft.Member) string { return "" }}
 	}
 	return c.planners[n.ID()]
 }
 
 func (c *simulatedCore) proposeCommand(id uint64, done func()) {
+	if n := c.Nodes[id].Raft; n.Role() == raft.Leader && !c.plannerOf(n).takesChanges(n, c.Now) {
+		return
+	}
 	c.lastCommand++
 	x := c.lastCommand
 	c.Propose(id, binary.BigEndian.AppendUint64(nil, x), func(_ any, ok bool) {
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -10,22 +10,24 @@
 
 	proposals        *metrics.Counter
 	proposalsUnknown *metrics.Counter // outcome not known to the caller
-	readsUnconfirmed *metrics.Counter
-	elections        *metrics.Counter // won by this node
-	diskSyncs        *metrics.Counter
-	diskSyncMicros   *metrics.Counter
-	diskFailures     *metrics.Counter
-	rejectedPeers    *metrics.Counter
-	lists            *metrics.Counter
-	listsEncoded     *metrics.Counter
-	listsRedirected  *metrics.Counter
-	eventsEncoded    *metrics.Counter
-	configsDeferred  *metrics.Counter
-	configConflicts  *metrics.Counter
-	heartbeats       *metrics.Counter
-	watchesAbandoned *metrics.Counter // by their callers
-	endpointsRemoved *metrics.Counter
-	appliedIndex     *metrics.Counter // a gauge
+	// proposalsDeferred are attempts that came before the group had formed, see formation.
+	proposalsDeferred *metrics.Counter
+	readsUnconfirmed  *metrics.Counter
+	elections         *metrics.Counter // won by this node
+	diskSyncs         *metrics.Counter
+	diskSyncMicros    *metrics.Counter
+	diskFailures      *metrics.Counter
+	rejectedPeers     *metrics.Counter
+	lists             *metrics.Counter
+	listsEncoded      *metrics.Counter
+	listsRedirected   *metrics.Counter
+	eventsEncoded     *metrics.Counter
+	configsDeferred   *metrics.Counter
+	configConflicts   *metrics.Counter
+	heartbeats        *metrics.Counter
+	watchesAbandoned  *metrics.Counter // by their callers
+	endpointsRemoved  *metrics.Counter
+	appliedIndex      *metrics.Counter // a gauge
 	// lockReacquisitions are acquisitions by the caller that held the lock already, and
 	// releasesWithheld the releases that were answered without freeing their lock.
 	lockReacquisitions *metrics.Counter
@@ -57,6 +59,7 @@
 		endpointsRemoved: r.Counter("endpoints_removed_total"),
 		appliedIndex:     r.Counter("applied_index"),
 
+		proposalsDeferred:       r.Counter("proposals_deferred_total"),
 		lockReacquisitions:      r.Counter("lock_reacquisitions_total"),
 		releasesWithheld:        r.Counter("lock_releases_withheld_total"),
 		reacquiredLocksReleased: r.Counter("invariant_violations_total", "invariant", "reacquired_lock_is_not_released"),
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -48,6 +48,10 @@
 // the node's goroutines. Calls in flight end with an error.
 func (n *Node) Close() { n.close() }
 
+// NotNeeded is closed when the group has rejected this node, as the node keeps its log in memory
+// and the group keeps its log on disks. The node should be closed then.
+func (n *Node) NotNeeded() <-chan struct{} { return n.membership.notNeeded }
+
 // tick lets time pass for consensus and carries out what is due by the clock.
 func (n *Node) tick(state *loopState) {
 	state.raft.Tick(n.now())
@@ -189,7 +193,9 @@
 	state.snapshots.countEntry(entry)
 	n.metrics.appliedIndex.Set(int64(entry.Index))
 	n.state.advance(entry.Index)
-	state.requests.resolveEntry(entry, result)
+	// A member with a disk may have joined since the entry was proposed.
+	isKept := state.membership.planner.takesChanges(state.raft, n.now())
+	state.requests.resolveEntry(entry, result, isKept)
 }
 
 func (n *Node) applyCommand(state *loopState, entry raft.Entry) registry.Result {
--- a/internal/controlplane/proposer.go
+++ b/internal/controlplane/proposer.go
@@ -305,6 +305,10 @@
 	if !state.isLeader() {
 		return p.peers.addrOf(state.raft.LeaderID())
 	}
+	if !state.membership.planner.takesChanges(state.raft, p.now()) {
+		p.metrics.proposalsDeferred.Inc()
+		return ""
+	}
 	if cmd.Coordination != nil {
 		prepared, decision := p.prepareCoordination(state, cmd.Coordination)
 		switch decision {
@@ -379,8 +383,9 @@
 	return p.lastReadID
 }
 
-// resolveEntry returns the result of an entry to its proposer, if it is here.
-func (p *pendingRequests) resolveEntry(entry raft.Entry, result registry.Result) {
+// resolveEntry returns the result of an entry to its proposer, if it is here. isKept reports whether
+// those that hold the entry outlast what the group must be able to lose.
+func (p *pendingRequests) resolveEntry(entry raft.Entry, result registry.Result, isKept bool) {
 	proposal, isPending := p.proposals[entry.Index]
 	if !isPending {
 		return
@@ -391,6 +396,10 @@
 		proposal.done <- outcome{err: apierror.New(apierror.Unavailable, "leadership changed")}
 		return
 	}
+	if !isKept {
+		proposal.done <- outcome{err: apierror.New(apierror.UnknownOutcome, "votes are moving to members with a disk")}
+		return
+	}
 	proposal.done <- outcome{result: result}
 }
 
--- a/internal/controlplane/proposer_test.go
+++ b/internal/controlplane/proposer_test.go
@@ -153,14 +153,19 @@
 	overwritten := propose(6, 2)
 	covered := propose(7, 2)
 	result := registry.Result{Revision: 9}
-	pending.resolveEntry(raft.Entry{Index: 5, Term: 2}, result)
+	pending.resolveEntry(raft.Entry{Index: 5, Term: 2}, result, true)
 	if o := <-own; o.err != nil || o.result.Revision != 9 {
 		t.Errorf("an entry that was applied: %+v", o)
 	}
-	pending.resolveEntry(raft.Entry{Index: 6, Term: 3}, result)
+	pending.resolveEntry(raft.Entry{Index: 6, Term: 3}, result, true)
 	if o := <-overwritten; apierror.KindOf(o.err) != apierror.Unavailable {
 		t.Errorf("an entry that another one replaced: %+v", o)
 	}
+	notKept := propose(8, 3)
+	pending.resolveEntry(raft.Entry{Index: 8, Term: 3}, result, false)
+	if o := <-notKept; apierror.KindOf(o.err) != apierror.UnknownOutcome {
+		t.Errorf("an entry that those who hold it may lose: %+v", o)
+	}
 	pending.abandonThrough(7)
 	if o := <-covered; apierror.KindOf(o.err) != apierror.UnknownOutcome {
 		t.Errorf("an entry that a snapshot covers: %+v", o)
--- a/internal/controlplane/start.go
+++ b/internal/controlplane/start.go
@@ -60,6 +60,7 @@
 		Addr:      disk.addr,
 		API:       env.settings.Listen.Control,
 		Uncounted: !env.settings.QuorumMember,
+		Storage:   storageOf(env.settings),
 	}
 	node := newNode(env, state, disk.store)
 	loop := node.restore(disk.saved)
@@ -72,6 +73,14 @@
 	return node, nil
 }
 
+// storageOf returns where a node keeps its log.
+func storageOf(set *settings.Settings) raft.Storage {
+	if set.DataDirectory == "" {
+		return raft.StorageMemory
+	}
+	return raft.StorageDisk
+}
+
 // disk is what a node finds on its disk at the start.
 type disk struct {
 	store    *storage.Store
@@ -136,7 +145,8 @@
 	return saved.HardState.Term == 0 && len(saved.Entries) == 0 && len(saved.Snapshot.Members.AllMembers()) == 0
 }
 
-// seedMembership is the first membership of a group: its seed nodes.
+// seedMembership is the first membership of a group: its seed nodes. All seeds write the same
+// one, so it does not describe them; each does so itself, see membershipManager.joinIfNeeded.
 func seedMembership(set *settings.Settings) raft.Membership {
 	var membership raft.Membership
 	for _, api := range set.SeedNodes {
@@ -182,6 +192,8 @@
 		peers:       n.peers,
 		consensus:   n.consensus,
 		seeds:       env.settings.SeedNodes,
+		formation:   newFormation(env.settings),
+		notNeeded:   make(chan struct{}),
 	}
 	n.joinServices()
 	n.joinServers()
@@ -243,6 +255,8 @@
 		directory:   n.directory,
 		audit:       n.audit,
 		sessions:    map[*proxySession]struct{}{},
+
+		isCoreDiskless: n.membership.isCoreDiskless,
 	}
 	n.reports = &reportAggregator{
 		environment: n.environment,
@@ -314,7 +328,7 @@
 		ValidateSnapshot:  snapshots.restoreReceived,
 	}, 0, saved)
 	n.peers.setMembership(node.Membership())
-	planner := newMembershipPlanner(n.settings, n.timing, n.membership.failureDomainOf)
+	planner := newMembershipPlanner(n.self, n.settings, n.timing, n.membership.failureDomainOf)
 	state := newLoopState(node, snapshots, planner)
 	state.leases.Restart(0, replicated.store.Coordination().Locks)
 	return state
--- a/internal/controlplane/watch_server.go
+++ b/internal/controlplane/watch_server.go
@@ -28,6 +28,8 @@
 	rollouts  *rolloutController
 	directory *proxyDirectory
 	audit     *auditSink
+	// isCoreDiskless reports whether nodes without a disk have to take part in the group.
+	isCoreDiskless func() bool
 
 	encodings sharedEncodings
 
@@ -354,7 +356,7 @@
 	for !w.isStopping.Load() && w.consensus.isUpToDate() {
 		bookmark := &transport.Bookmark{
 			Control:  w.controlNodes(),
-			Diskless: w.settings.DataDirectory == "",
+			Diskless: w.isCoreDiskless(),
 		}
 		if conn.Send(&transport.Frame{Bookmark: bookmark}) != nil {
 			return
--- a/internal/storage/golden_test.go
+++ b/internal/storage/golden_test.go
@@ -199,7 +199,7 @@
 	}
 	goldentest.Same(t, "hard state", saved.HardState, goldenHard())
 	goldentest.Same(t, "snapshot", saved.Snapshot, raft.Snapshot{Index: 40, Term: 4, Members: goldenMembers(), Data: goldenState(t)})
-	goldentest.Complete(t, saved)
+	goldentest.Complete(t, saved, describedMembers())
 	if len(saved.Entries) != 4 {
 		t.Fatalf("%d entries, want 4", len(saved.Entries))
 	}
@@ -363,3 +363,30 @@
 func goldenSum(names string, data []byte) int64 {
 	return int64(crc32.Checksum(append([]byte(names), data...), crc32.MakeTable(crc32.Castagnoli)))
 }
+
+// describedMembers is goldenMembers with what the members say of their storage, which came later.
+func describedMembers() raft.Membership {
+	members := goldenMembers()
+	members.Voters[0].Storage = raft.StorageDisk
+	members.Learners[0].Storage = raft.StorageMemory
+	return members
+}
+
+// TestStoreKeepsMemberStorage reads what members say of their storage from a snapshot of this code.
+func TestStoreKeepsMemberStorage(t *testing.T) {
+	dir := t.TempDir()
+	c, _, _, err := Open(dir, goldenIdentity, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Save(nil, &raft.Snapshot{Index: 1, Term: 1, Members: describedMembers()}, false, nil); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	c, _, saved, err := Open(dir, 99, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	goldentest.Same(t, "members", saved.Snapshot.Members, describedMembers())
+}
--- a/internal/transport/golden_test.go
+++ b/internal/transport/golden_test.go
@@ -603,7 +603,7 @@
 		}
 		readFramesByThisCode(t, what, data)
 	}
-	goldentest.Complete(t, goldenFrames())
+	goldentest.Complete(t, goldenFrames(), goldenJoin())
 	goldentest.Complete(t, goldenFrameForms())
 	if Version != 3 {
 		t.Errorf("the wire has the version %d, want 3", Version)
@@ -612,3 +612,32 @@
 		t.Errorf("the golden hello gave %+v, %v", hello, err)
 	}
 }
+
+// goldenJoin is a request of a node that says where it keeps its log, which came later.
+func goldenJoin() Frame {
+	return Frame{Ask: &Request{ID: 401, Join: &raft.Member{ID: 402, Addr: "127.0.0.1:7402", API: "127.0.0.1:8402", Storage: raft.StorageMemory}}}
+}
+
+// TestGoldenJoin is TestGoldenFrames for goldenJoin. A reader of before does not see the storage.
+func TestGoldenJoin(t *testing.T) {
+	raw := &bytesConn{}
+	want := goldenJoin()
+	if err := NewConn(raw, time.Second).Send(&want); err != nil {
+		t.Fatal(err)
+	}
+	anew := raw.out.Bytes()
+	golden := goldentest.File(t, "testdata/golden/join-storage.bin", func() []byte { return anew })
+	wantOld := goldenFrame{Ask: &goldenAsk{ID: 401, Join: &goldenMember{ID: 402, Addr: "127.0.0.1:7402", API: "127.0.0.1:8402"}}}
+	for what, data := range map[string][]byte{"golden file": golden, "written by this code": anew} {
+		got, err := NewConn(&bytesConn{in: bytes.NewReader(data)}, time.Second).Receive(time.Second)
+		if err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		goldentest.Same(t, what+", read by this code", *got, want)
+		var old goldenFrame
+		if err := gob.NewDecoder(bytes.NewReader(data[4:])).Decode(&old); err != nil {
+			t.Fatalf("%s: %v", what, err)
+		}
+		goldentest.Same(t, what+", read as before", old, wantOld)
+	}
+}
--- a/internal/transport/messages.go
+++ b/internal/transport/messages.go
@@ -161,7 +161,7 @@
 	Judged bool
 	// Verdicts replaces the verdicts on endpoints that were sent before.
 	Verdicts []loadbalance.Verdict
-	// Diskless says that the sender keeps its log in memory: no machine of the core has a
+	// Diskless says that all members of the core keep their logs in memory: no machine has a
 	// disk, so a relay has to take part in the group.
 	Diskless bool
 }
--- a/raft/election.go
+++ b/raft/election.go
@@ -215,31 +215,46 @@
 }
 
 // TransferLeadership starts to transfer leadership to the voter with the longest log
-// among those heard within an election timeout. It returns false if this node does not
-// lead or there is no such voter. Until the target leads, or an election timeout has
-// passed, proposals are rejected.
+// among those heard within an election timeout, and to one that keeps its log in memory
+// only if there is no other. It returns false if this node does not lead or there is no
+// such voter. Until the target leads, or an election timeout has passed, proposals are
+// rejected.
 func (n *Node) TransferLeadership() bool {
 	if n.role != Leader {
 		return false
 	}
-	var target, targetMatch uint64
+	target, isFound := n.chooseTransferTarget()
+	if !isFound {
+		return false
+	}
+	n.transferTarget = target.ID
+	n.transferStartedAt = n.now
+	n.maybeSendTimeoutNow()
+	return true
+}
+
+// chooseTransferTarget returns the voter that leadership is transferred to.
+func (n *Node) chooseTransferTarget() (target Member, isFound bool) {
 	for _, m := range n.Membership().Voters {
 		p := n.progress[m.ID]
 		if m.ID == n.config.ID || p == nil || n.now-p.lastContact > n.config.ElectionTimeout {
 			continue
 		}
-		if target == 0 || p.matchIndex > targetMatch {
-			target = m.ID
-			targetMatch = p.matchIndex
+		if !isFound || n.isBetterTransferTarget(m, target) {
+			target = m
+			isFound = true
 		}
 	}
-	if target == 0 {
-		return false
+	return target, isFound
+}
+
+// isBetterTransferTarget reports whether leadership goes rather to m than to another voter. Both
+// have progress.
+func (n *Node) isBetterTransferTarget(m, than Member) bool {
+	if inMemory := m.Storage == StorageMemory; inMemory != (than.Storage == StorageMemory) {
+		return !inMemory
 	}
-	n.transferTarget = target
-	n.transferStartedAt = n.now
-	n.maybeSendTimeoutNow()
-	return true
+	return n.progress[m.ID].matchIndex > n.progress[than.ID].matchIndex
 }
 
 // maybeSendTimeoutNow asks the target of a transfer to campaign, once it holds the
--- a/raft/fingerprint.go
+++ b/raft/fingerprint.go
@@ -258,6 +258,7 @@
 			w.text(x.Addr)
 			w.text(x.API)
 			w.bool(x.Uncounted)
+			w.uints(uint64(x.Storage))
 		}
 	}
 }
--- a/raft/fingerprint_test.go
+++ b/raft/fingerprint_test.go
@@ -25,7 +25,7 @@
 		reflect.TypeFor[HardState]():        "Term Vote",
 		reflect.TypeFor[Entry]():            "Index Term Type Data",
 		reflect.TypeFor[Membership]():       "Voters Learners",
-		reflect.TypeFor[Member]():           "ID Addr API Uncounted",
+		reflect.TypeFor[Member]():           "ID Addr API Uncounted Storage",
 		reflect.TypeFor[contactProof]():     "asOf commitIndex",
 		reflect.TypeFor[flowControl]():      "windowBytes inflightBytes inflights minRTT consecutiveTimeouts",
 		reflect.TypeFor[inflight]():         "end size sentAt",
--- a/raft/golden_test.go
+++ b/raft/golden_test.go
@@ -43,7 +43,20 @@
 		Learners: []goldenMember{{ID: 13, Addr: "127.0.0.1:7003", API: "127.0.0.1:8003"}},
 	}
 	golden := goldentest.File(t, "testdata/golden/membership.gob", want.Encode)
+	compareGoldenMembership(t, golden, want, wantOld)
 
+	// What members say of their storage came later. A reader of before does not see it.
+	want.Voters[0].Storage = raft.StorageDisk
+	want.Learners[0].Storage = raft.StorageMemory
+	golden = goldentest.File(t, "testdata/golden/membership-storage.gob", want.Encode)
+	compareGoldenMembership(t, golden, want, wantOld)
+	goldentest.Complete(t, want, wantOld)
+}
+
+// compareGoldenMembership reads a golden file, and what the present code writes, with the present code
+// and as before.
+func compareGoldenMembership(t *testing.T, golden []byte, want raft.Membership, wantOld goldenMembership) {
+	t.Helper()
 	got, err := raft.DecodeMembership(golden)
 	if err != nil {
 		t.Fatal(err)
@@ -56,5 +69,4 @@
 		}
 		goldentest.Same(t, what+", read as before", old, wantOld)
 	}
-	goldentest.Complete(t, want, wantOld)
 }
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -15,8 +15,23 @@
 	// Uncounted marks a node that may disappear at any time and on which the group's
 	// fault tolerance does not depend.
 	Uncounted bool
+	// Storage is where the node keeps its log, its vote and its snapshot.
+	Storage Storage
 }
 
+// Storage is where a member keeps what consensus asks it to store. The values are part of
+// the wire format.
+type Storage uint8
+
+const (
+	// StorageUnknown is the storage of a member that has not described itself yet.
+	StorageUnknown Storage = iota
+	// StorageDisk outlasts the member's process.
+	StorageDisk
+	// StorageMemory ends with the member's process, and the member with it.
+	StorageMemory
+)
+
 // Membership is the configuration of the group (the paper, section 6): the members that
 // vote, and the learners (thesis, section 4.2.1), which receive the log but do not
 // vote. It is a value; its methods do not change it. The field names are part of the
@@ -39,6 +54,36 @@
 	return append(append([]Member(nil), m.Voters...), m.Learners...)
 }
 
+// String returns the name of the storage in logs.
+func (s Storage) String() string {
+	switch s {
+	case StorageDisk:
+		return "disk"
+	case StorageMemory:
+		return "memory"
+	}
+	return "unknown"
+}
+
+// Find returns the member with an ID.
+func (m Membership) Find(id uint64) (member Member, isMember bool) {
+	for _, members := range [...][]Member{m.Voters, m.Learners} {
+		if i := indexOfMember(members, id); i >= 0 {
+			return members[i], true
+		}
+	}
+	return Member{}, false
+}
+
+// WithDescription returns the membership with what x says of itself, Uncounted and Storage,
+// in the entry of the same ID. Nobody gains or loses a vote.
+func (m Membership) WithDescription(x Member) Membership {
+	return Membership{
+		Voters:   withDescription(m.Voters, x),
+		Learners: withDescription(m.Learners, x),
+	}
+}
+
 // WithLearner returns the membership with x as a learner, whatever it was before.
 func (m Membership) WithLearner(x Member) Membership {
 	return Membership{
@@ -100,6 +145,16 @@
 	return rest
 }
 
+// withDescription returns a copy of members in which the entry with x's ID says what x says.
+func withDescription(members []Member, x Member) []Member {
+	described := append([]Member(nil), members...)
+	if i := indexOfMember(described, x.ID); i >= 0 {
+		described[i].Uncounted = x.Uncounted
+		described[i].Storage = x.Storage
+	}
+	return described
+}
+
 // voterDifference returns how many members are in only one of a and b.
 func voterDifference(a, b []Member) int {
 	return countMissing(a, b) + countMissing(b, a)
