--- a/internal/controlplane/health_monitor.go
+++ b/internal/controlplane/health_monitor.go
@@ -8,7 +8,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"lichentray/internal/apierror"
 	"lichentray/internal/transport"
 	"lichentray/loadbalance"
 	"lichentray/registry"
@@ -188,7 +187,7 @@
 		if h.now()-state.liveness.lastSeen[endpoint.ID] <= h.timing.EndpointTimeout {
 			return "" // a heartbeat came in the meantime
 		}
-		return h.proposer.startProposal(state, registry.Command{Txn: deleteIfUnchanged(object)}, done)
+		return h.proposer.startProposal(state, registry.Command{Txn: removeEndpoint(object, endpoint)}, done)
 	})
 	if !response.Failed && !response.Result.Conflict {
 		h.metrics.endpointsRemoved.Inc()
@@ -239,74 +238,3 @@
 	id := string(response.Header.Peek("X-Instance-Id"))
 	return id == endpoint.ID || (id == "" && response.StatusCode() == fasthttp.StatusOK)
 }
-
-// heartbeat takes a heartbeat of an endpoint, see Node.Heartbeat.
-func (h *healthMonitor) heartbeat(endpoint registry.Endpoint) error {
-	h.metrics.heartbeats.Inc()
-	departedKey := registry.DepartedPrefix + endpoint.ID
-	hasLostContact := h.consensus.sinceLastContact() > h.timing.ConnectionTimeout
-	_, err := h.proposer.transact(func(r *replicatedState) (*registry.Txn, error) {
-		if _, hasDeparted := r.store.Get(departedKey); hasDeparted {
-			return nil, nil // a late heartbeat of an endpoint that has deregistered
-		}
-		h.recordHeartbeat(endpoint.ID)
-		object, isKnown := r.store.Get(endpoint.Key())
-		// A node that has just started may not hold the configuration yet that bounds
-		// the traffic of the service's new endpoints, so all of them are marked.
-		endpoint.WarmingUp = endpoint.WarmUpSeconds > 0 && h.settings.Bounds.SlowStartOvershoot > 0
-		if !isKnown {
-			txn := putIfUnchanged(endpoint.Key(), 0, endpoint.Encode())
-			txn.If = append(txn.If, registry.Compare{Key: departedKey})
-			h.rollouts.addBaseVersion(r, txn, endpoint)
-			return txn, nil
-		}
-		return updateEndpoint(object, endpoint, hasLostContact)
-	})
-	return err
-}
-
-// updateEndpoint derives what a heartbeat changes of a registered endpoint. Most
-// heartbeats change nothing: they only show that the endpoint is alive, of which the
-// leader must hear, so a node that has lost contact rejects them.
-func updateEndpoint(object registry.Object, heartbeat registry.Endpoint, hasLostContact bool) (*registry.Txn, error) {
-	endpoint, err := registry.DecodeEndpoint(object)
-	if err != nil {
-		return nil, apierror.New(apierror.Internal, "%v", err)
-	}
-	if endpoint.Draining {
-		return nil, nil // a draining endpoint never returns to use
-	}
-	isLate := heartbeat.Sequence < endpoint.Sequence
-	changesWarmUp := heartbeat.WarmingUp != endpoint.WarmingUp && !isLate
-	if !heartbeat.Draining && !changesWarmUp {
-		if hasLostContact {
-			return nil, apierror.New(apierror.Unavailable, "this node has lost contact with the group")
-		}
-		return nil, nil
-	}
-	endpoint.Draining = heartbeat.Draining
-	endpoint.Sequence = heartbeat.Sequence
-	endpoint.WarmingUp = heartbeat.WarmingUp
-	return putIfUnchanged(object.Key, object.ModRevision, endpoint.Encode()), nil
-}
-
-// deregister removes an endpoint for good, see Node.Deregister.
-func (h *healthMonitor) deregister(id string) error {
-	key := registry.EndpointPrefix + id
-	departedKey := registry.DepartedPrefix + id
-	_, err := h.proposer.transact(func(r *replicatedState) (*registry.Txn, error) {
-		if _, hasDeparted := r.store.Get(departedKey); hasDeparted {
-			return nil, nil
-		}
-		object, isKnown := r.store.Get(key)
-		txn := &registry.Txn{
-			If:   []registry.Compare{{Key: key, ModRevision: object.ModRevision}, {Key: departedKey}},
-			Then: []registry.Write{{Key: departedKey, Value: []byte{}}},
-		}
-		if isKnown {
-			txn.Then = append(txn.Then, registry.Write{Key: key, IsDelete: true})
-		}
-		return txn, nil
-	})
-	return err
-}
--- a/internal/controlplane/health_monitor_test.go
+++ b/internal/controlplane/health_monitor_test.go
@@ -33,7 +33,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			c.registered.ID, c.registered.Sequence = "e", sequence
 			object := registry.Object{Key: c.registered.Key(), Value: c.registered.Encode(), ModRevision: 9}
-			txn, err := updateEndpoint(object, c.heartbeat, c.hasLostContact)
+			txn, err := updateEndpoint(object, c.heartbeat, c.hasLostContact, true)
 			if c.wantKind != 0 {
 				if apierror.KindOf(err) != c.wantKind {
 					t.Errorf("error %v", err)
--- a/internal/controlplane/history_compactor.go
+++ b/internal/controlplane/history_compactor.go
@@ -11,6 +11,13 @@
 // was accepted: a day and a half of 5,500 changes a day, some 200 bytes each.
 const maxAcceptedDigests = 8192
 
+// departureRetention is how long the marker of an endpoint that announced its end is kept: as long as
+// a heartbeat that the endpoint sent before may be on its way.
+const departureRetention = coordination.MaxCallDelay
+
+// compactionDivisor is the part of the retention that passes between two compactions, as a divisor.
+const compactionDivisor = 4
+
 // historyCompactor forgets, at the leader, history that nobody may ask for any more.
 // The replicated state holds no time, so it remembers which revision was reached
 // when.
@@ -31,52 +38,65 @@
 	revision uint64
 }
 
+// watchRetention is how long the events of a watch are kept: with a margin, as a caller counts from
+// when it received the revision that it asks for.
+func (h *historyCompactor) watchRetention() time.Duration {
+	return h.settings.Bounds.HistoryRetention.Duration() * 3 / 2
+}
+
 // record remembers the present revision, at most once a second.
 func (h *historyCompactor) record(state *loopState, now time.Duration) {
 	history := &state.history
 	if n := len(history.revisions); n > 0 && now-history.revisions[n-1].at < time.Second {
 		return
 	}
+	history.forgetBefore(now - max(h.watchRetention(), departureRetention))
 	history.revisions = append(history.revisions, revisionTime{at: now, revision: h.state.onLoop(state).store.Revision()})
 }
 
-// compact proposes to forget what is older than the retention, with a margin.
+// compact proposes to forget what is older than its retention.
 func (h *historyCompactor) compact(state *loopState, now time.Duration) {
-	retention := h.settings.Bounds.HistoryRetention.Duration() * 3 / 2
-	if now-state.history.compactedAt < retention/4 {
+	history := &state.history
+	if now-history.compactedAt < min(h.watchRetention(), departureRetention)/compactionDivisor {
 		return
 	}
-	before, isDue := state.history.expireRevisions(now, retention)
-	if !isDue {
-		return
+	history.compactedAt = now
+	if before, isKnown := history.reachedBy(now - h.watchRetention()); isKnown {
+		state.proposeWithoutWaiting(registry.Command{Coordination: &coordination.Command{
+			Operation:     coordination.CompactHistory,
+			CompactBefore: before,
+		}})
 	}
-	state.history.compactedAt = now
-	state.proposeWithoutWaiting(registry.Command{Coordination: &coordination.Command{
-		Operation:     coordination.CompactHistory,
-		CompactBefore: before,
-	}})
-	if txn := expiryTxn(h.state.onLoop(state).store, before); len(txn.Then) > 0 {
+	departedBefore, _ := history.reachedBy(now - departureRetention)
+	if txn := expiryTxn(h.state.onLoop(state).store, departedBefore); len(txn.Then) > 0 {
 		state.proposeWithoutWaiting(registry.Command{Txn: txn})
 	}
 }
 
-// expireRevisions forgets when the revisions beyond the retention were reached and
-// returns the newest of them; isDue is false if there is none.
-func (h *revisionHistory) expireRevisions(now, retention time.Duration) (newest uint64, isDue bool) {
-	expired := 0
-	for expired < len(h.revisions) && now-h.revisions[expired].at > retention {
-		newest = h.revisions[expired].revision
-		expired++
+// reachedBy returns the newest revision that this node had seen before an instant; isKnown is false if
+// it does not reach back so far.
+func (h *revisionHistory) reachedBy(instant time.Duration) (revision uint64, isKnown bool) {
+	for _, r := range h.revisions {
+		if r.at >= instant {
+			break
+		}
+		revision = r.revision
+		isKnown = true
 	}
-	if expired == 0 {
-		return 0, false
+	return revision, isKnown
+}
+
+// forgetBefore forgets what reachedBy needs for no instant from the given one on.
+func (h *revisionHistory) forgetBefore(instant time.Duration) {
+	superseded := 0
+	for superseded+1 < len(h.revisions) && h.revisions[superseded+1].at < instant {
+		superseded++
 	}
-	h.revisions = append([]revisionTime(nil), h.revisions[expired:]...)
-	return newest, true
+	h.revisions = append(h.revisions[:0], h.revisions[superseded:]...)
 }
 
 // expiryTxn returns a transaction that deletes the markers of endpoints that departed
-// by a revision, and the digests of accepted configurations beyond the newest ones.
+// up to a revision, and the digests of accepted configurations beyond the newest ones.
 func expiryTxn(store *registry.Store, before uint64) *registry.Txn {
 	txn := &registry.Txn{}
 	expire := func(o registry.Object) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -21,6 +21,10 @@
 	DefaultMaxRecords        = 50000
 )
 
+// defaultHistoryRetention is Bounds.HistoryRetention where the file does not give it: longer than a
+// caller waits for an event in one call.
+const defaultHistoryRetention Seconds = 60
+
 // ResolvePath returns the path of the settings file: the value of the command line's flag if it is
 // not empty, else that of the variable EnvPath, else DefaultPath.
 func ResolvePath(flag string) string {
@@ -60,6 +64,7 @@
 	if err := decodeTOML(text, s); err != nil {
 		return nil, err
 	}
+	s.Bounds.setDefaults()
 	if s.Audit != nil {
 		s.Audit.setDefaults()
 	}
@@ -76,6 +81,16 @@
 	return nil
 }
 
+// setDefaults fills in what the file does not give and what must not be 0.
+func (b *Bounds) setDefaults() {
+	if b.HistoryRetention == 0 {
+		b.HistoryRetention = defaultHistoryRetention
+	}
+	if b.MaxTTL == 0 {
+		b.MaxTTL = b.ContactWindow
+	}
+}
+
 // setDefaults fills in what the file does not give.
 func (a *Audit) setDefaults() {
 	if a.UnknownTenant == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,7 +81,7 @@
 	RetryBudgetSlack float64 `toml:"retry_budget_slack"`
 	// Recovery is how long after the return of lost machines requests may stay unserved.
 	Recovery Seconds `toml:"recovery_s"`
-	// HistoryRetention is how long the events of a watch are kept.
+	// HistoryRetention is how long the events of a watch are kept, by default a minute.
 	HistoryRetention Seconds `toml:"history_retention_s"`
 	// LockRelease is how long after the end of its lease a lock may still not be granted to another.
 	LockRelease Seconds `toml:"release_s"`
@@ -92,7 +92,7 @@
 	SlowStartSlack float64 `toml:"cold_slack"`
 	// ZoneEvacuation is how long the evacuation of a zone may take.
 	ZoneEvacuation Seconds `toml:"evacuation_s"`
-	// MaxTTL is how long clients use an answer of the directory at most.
+	// MaxTTL is how long clients use an answer of the directory at most, by default ContactWindow.
 	MaxTTL Seconds `toml:"ttl_max_s"`
 	// ExposureRatio is the share of requests that a bad target version may get until the deadline
 	// of its roll-out.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,3 +48,20 @@
 		})
 	}
 }
+
+// TestBoundsDefaults guards against bounds that a file does not give and that are read as 0: watches would
+// have no history, and the answers of a directory no lifetime.
+func TestBoundsDefaults(t *testing.T) {
+	text := readSample(t)
+	given, err := Parse([]byte(text))
+	if err != nil || given.Bounds.HistoryRetention != 20 {
+		t.Fatalf("given: %v, %v", given.Bounds.HistoryRetention, err)
+	}
+	s, err := Parse([]byte(strings.Replace(text, "history_retention_s = 20\n", "", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Bounds.HistoryRetention != defaultHistoryRetention || s.Bounds.MaxTTL != s.Bounds.ContactWindow {
+		t.Errorf("not given: %v, %v", s.Bounds.HistoryRetention, s.Bounds.MaxTTL)
+	}
+}
--- a/registry/golden_test.go
+++ b/registry/golden_test.go
@@ -500,7 +500,7 @@
 			}
 		}
 	}
-	goldentest.Complete(t, endpoints, proxies, evacuations)
+	goldentest.Complete(t, endpoints, proxies, evacuations, goldenDrainingEndpoint, goldenDeparture)
 
 	// Earlier versions wrote the state of a zone alone.
 	for value, want := range map[string]Evacuation{
@@ -530,3 +530,30 @@
 		}
 	}
 }
+
+// What came later than the other values.
+var (
+	goldenDrainingEndpoint = Endpoint{ID: "e3", Service: "payments", Address: "127.0.0.1:9003", Zone: "zone-a", Capacity: 7, Draining: true, Sequence: 32, RegisteredSequence: 31}
+	goldenDeparture        = Departure{RegisteredSequence: 31}
+)
+
+// TestGoldenDeparture compares the later values with their text. An endpoint and a marker of before have
+// no sequence of the registration.
+func TestGoldenDeparture(t *testing.T) {
+	const endpointText = `{"id":"e3","service":"payments","address":"127.0.0.1:9003","zone":"zone-a","capacity":7,"draining":true,"sequence":32,"registered":31}`
+	if got := string(goldenDrainingEndpoint.Encode()); got != endpointText {
+		t.Errorf("endpoint written %s", got)
+	}
+	got, err := DecodeEndpoint(Object{Value: []byte(endpointText)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldentest.Same(t, "endpoint", got, goldenDrainingEndpoint)
+	const departureText = `{"registered":31}`
+	if got := string(goldenDeparture.Encode()); got != departureText {
+		t.Errorf("departure written %s", got)
+	}
+	for text, want := range map[string]Departure{departureText: goldenDeparture, "{}": {}, "": {}} {
+		goldentest.Same(t, "departure "+text, DecodeDeparture(Object{Value: []byte(text)}), want)
+	}
+}
--- a/registry/objects.go
+++ b/registry/objects.go
@@ -29,6 +29,9 @@
 	// Sequence is that of the newest heartbeat that changed the object. An endpoint
 	// numbers its heartbeats, so that one that arrives late is recognised.
 	Sequence uint64 `json:"sequence"`
+	// RegisteredSequence is that of the heartbeat that registered the endpoint, where Sequence
+	// is not that any more; see StartsAgain.
+	RegisteredSequence uint64 `json:"registered,omitempty"`
 	// WarmUpSeconds is how many seconds of warm-up the endpoint had left when it was
 	// registered. Later heartbeats do not change it.
 	WarmUpSeconds float64 `json:"cold_s,omitempty"`
@@ -44,6 +47,41 @@
 // Encode returns the endpoint as the value of an object.
 func (e Endpoint) Encode() []byte { return marshalValue(e) }
 
+// FirstSequence returns the sequence of the heartbeat that registered the endpoint.
+func (e Endpoint) FirstSequence() uint64 {
+	if e.RegisteredSequence != 0 {
+		return e.RegisteredSequence
+	}
+	return e.Sequence
+}
+
+// StartsAgain reports whether a heartbeat comes from a later incarnation than the one that was
+// registered by a heartbeat with the given sequence. A heartbeat of the same incarnation may come
+// late, but each has a sequence of its own, so none has that of one which has arrived already. A
+// sequence of 0 is that of an endpoint which does not number its heartbeats, and proves nothing.
+func StartsAgain(registeredSequence, sequence uint64) bool {
+	return sequence != 0 && sequence == registeredSequence
+}
+
+// Departure is what is kept of an endpoint that has announced its end, under DepartedPrefix. It
+// keeps late heartbeats from registering the endpoint again.
+type Departure struct {
+	// RegisteredSequence is Endpoint.FirstSequence, or 0 if it is not known.
+	RegisteredSequence uint64 `json:"registered,omitempty"`
+}
+
+// Encode returns the departure as the value of an object.
+func (d Departure) Encode() []byte { return marshalValue(d) }
+
+// DecodeDeparture reads a departure from an object's value. Earlier versions wrote an empty value.
+func DecodeDeparture(o Object) Departure {
+	departure, err := unmarshalValue[Departure](o)
+	if err != nil {
+		return Departure{}
+	}
+	return departure
+}
+
 // DecodeEndpoint reads an endpoint from an object's value.
 func DecodeEndpoint(o Object) (Endpoint, error) { return unmarshalValue[Endpoint](o) }
 
