tests/rolling: the last check does not acquire the held lock again

tests/rolling/run ended with "lock that was given back: status 409", from (untouched code) as well as to. Here the holder renews the lock under the token that it holds instead: a renewal is answered 200 only to the holder under that token, so the check is as strict.

--- a/tests/rolling/checks.go
+++ b/tests/rolling/checks.go
@@ -140,21 +140,18 @@
 	return nil
 }
 
-// checkHeldLock checks that the held lock has kept its fence, and that the next
-// holder gets one above all others.
+// checkHeldLock checks that the held lock has kept its fence, which a renewal names, and that the
+// next holder gets one above all others. The holder does not acquire the lock again: a release
+// after that may be withheld (docs/notes/locks.md).
 func (s *session) checkHeldLock(ctx context.Context) error {
-	status, fence, err := s.load.acquire(ctx, heldLock, heldLockBy, heldLease)
-	if err != nil {
+	if err := s.load.renewHeldLock(ctx, 0); err != nil {
 		return err
 	}
-	if status != http.StatusOK || fence != s.load.held {
-		return fmt.Errorf("held lock: status %d, fence %d, want 200, fence %d", status, fence, s.load.held)
-	}
-	if _, err := s.client.rpc(ctx, "locks.finish", heldLock, map[string]any{"holder": heldLockBy, "fence": fence}, nil); err != nil {
+	if _, err := s.client.rpc(ctx, "locks.finish", heldLock, map[string]any{"holder": heldLockBy, "fence": s.load.held}, nil); err != nil {
 		return err
 	}
 	before := s.history.highestFence()
-	status, fence, err = s.load.acquire(ctx, heldLock, "next", heldLease)
+	status, fence, err := s.load.acquire(ctx, heldLock, "next", heldLease)
 	if err != nil {
 		return err
 	}
