--- a/internal/controlplane/membership_manager.go
+++ b/internal/controlplane/membership_manager.go
@@ -107,8 +107,8 @@
 
 // joinIfNeeded asks to be admitted if this node is no member or may have been
 // replaced, as a voter that has been without a leader for long, or retired, as one without
-// a leader that has no disk. A member that the membership does not describe, as it is a seed or began under an older version, describes itself to the
-// leader by the same request.
+// a leader that has no disk. A member that the membership does not describe, as it is a seed or
+// began under an older version, describes itself to the leader by the same request.
 func (m *membershipManager) joinIfNeeded(state *loopState, now time.Duration) {
 	membership := state.raft.Membership()
 	if !membership.IsMember(m.self.ID) {
