controlplane: the simulated core in a file of its own; its checks once

The simulated group stood in the middle of membership_test.go, and the check for lost changes in two tests.

--- a/internal/controlplane/formation_test.go
+++ b/internal/controlplane/formation_test.go
@@ -138,14 +138,7 @@
 		c.killAll(lostDisk)
 		c.requireProgress(20*simElectionTimeout, fmt.Sprint("a kill of all, lost disk ", lostDisk))
 		c.runFor(simDeadMemberTimeout)
-		for _, x := range c.acknowledged {
-			if !c.Leader().StateMachine.(commandSet)[x] {
-				t.Fatalf("seed %d: %d was acknowledged and is lost", seed, x)
-			}
-		}
-		if c.Violation != "" {
-			t.Fatalf("seed %d: %s", seed, c.Violation)
-		}
+		c.requireNothingLost()
 	}
 }
 
@@ -165,6 +158,8 @@
 		}
 		c.killAll(0)
 		c.requireProgress(20*simElectionTimeout, "a kill of all")
+		c.runFor(simDeadMemberTimeout)
+		c.requireNothingLost()
 	}
 }
 
@@ -217,5 +212,7 @@
 		}
 		c.killAll(4)
 		c.requireProgress(20*simElectionTimeout, "a kill of all and a lost disk")
+		c.runFor(simDeadMemberTimeout)
+		c.requireNothingLost()
 	}
 }
--- a/internal/controlplane/membership_test.go
+++ b/internal/controlplane/membership_test.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"encoding/binary"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -9,7 +8,6 @@
 
 	"lichentray/internal/settings"
 	"lichentray/raft"
-	"lichentray/raft/rafttest"
 )
 
 // TestNextMembershipAgainstModel compares the changes, made until there is nothing left to
@@ -166,208 +164,6 @@
 	}
 }
 
-// commandSet is a state machine that remembers which commands it has applied.
-type commandSet map[uint64]bool
-
-func (s commandSet) Apply(_ uint64, data []byte) any {
-	s[binary.BigEndian.Uint64(data)] = true
-	return nil
-}
-func (s commandSet) Snapshot() []byte {
-	var out []byte
-	for k := range s {
-		out = binary.BigEndian.AppendUint64(out, k)
-	}
-	return out
-}
-func (s commandSet) Restore(data []byte) {
-	clear(s)
-	for ; len(data) > 0; data = data[8:] {
-		s[binary.BigEndian.Uint64(data)] = true
-	}
-}
-
-// simulatedCore is a simulated group whose leaders adjust its membership as a node does.
-type simulatedCore struct {
-	*rafttest.Cluster
-	t                   *testing.T
-	seed                int64
-	planners            map[uint64]*membershipPlanner
-	addrs               map[uint64]string // addresses of the members that run
-	lastID              uint64
-	membershipCheckedAt time.Duration
-	lastCommand         uint64
-	acknowledged        []uint64
-
-	// storages are where the members keep their logs, unknown where nothing is said.
-	storages map[uint64]raft.Storage
-	// formation is that of every member.
-	formation formation
-	// notNeeded are the nodes that the group has rejected for good.
-	notNeeded map[uint64]bool
-}
-
-const (
-	simElectionTimeout   = 150 * time.Millisecond
-	simDeadMemberTimeout = 5 * simElectionTimeout
-	simCatchUpTime       = 13 * simElectionTimeout // as catch_up_s is to contact_s
-)
-
-func newSimulatedCore(t *testing.T, seed int64, n int) *simulatedCore {
-	c := startSimulatedCore(t, seed, n)
-	c.runFor(simCatchUpTime)
-	return c
-}
-
-// startSimulatedCore starts n nodes, the first three of which are the seeds.
-func startSimulatedCore(t *testing.T, seed int64, n int) *simulatedCore {
-	c := &simulatedCore{
-		Cluster:   rafttest.NewCluster(seed, 3, func() rafttest.StateMachine { return commandSet{} }),
-		t:         t,
-		seed:      seed,
-		planners:  map[uint64]*membershipPlanner{},
-		addrs:     map[uint64]string{},
-		storages:  map[uint64]raft.Storage{},
-		notNeeded: map[uint64]bool{},
-	}
-	for id := uint64(1); id <= uint64(n); id++ {
-		if id > 3 {
-			c.Add(id)
-		}
-		c.addrs[id] = fmt.Sprint("node-", id)
-	}
-	c.lastID = uint64(n)
-	return c
-}
-
-// startWithEmptyDisk starts a member with an empty disk at an address.
-func (c *simulatedCore) startWithEmptyDisk(addr string) uint64 {
-	c.lastID++
-	c.Add(c.lastID)
-	c.addrs[c.lastID] = addr
-	return c.lastID
-}
-
-// runFor lets time pass under load; a node that is no member asks to be one.
-func (c *simulatedCore) runFor(span time.Duration) {
-	for end := c.Now + span; c.Now < end; {
-		c.Run(c.StepInterval)
-		lead := c.Leader()
-		if lead == nil {
-			continue
-		}
-		if c.Rand.Intn(8) == 0 {
-			c.proposeCommand(lead.ID, nil)
-		}
-		if c.Now-c.membershipCheckedAt < 80*time.Millisecond {
-			continue
-		}
-		c.membershipCheckedAt = c.Now
-		n := lead.Raft
-		if c.plannerOf(n).mustHandOver(n, c.Now) && n.TransferLeadership() {
-			continue
-		}
-		if next, why := c.plannerOf(n).nextChange(n, c.Now); why != "" {
-			_ = n.ProposeConfChange(next)
-			continue
-		}
-		c.admitOne(n)
-	}
-}
-
-// admitOne lets one node ask the leader n to be admitted, or to be described.
-func (c *simulatedCore) admitOne(n *raft.Node) {
-	for _, id := range c.IDs() {
-		member := c.member(id)
-		if !c.IsUp(id) || c.IsFrozen(id) || c.notNeeded[id] || isDescribed(n.Membership(), member) {
-			continue
-		}
-		next, err := admit(n.Membership(), member, n.HasPendingConfChange())
-		if err == errCoreHasDisks {
-			c.notNeeded[id] = true
-			continue
-		}
-		if err == nil {
-			_ = n.ProposeConfChange(next)
-		}
-		return
-	}
-}
-
-// member is what a node says of itself.
-func (c *simulatedCore) member(id uint64) raft.Member {
-	return raft.Member{ID: id, Addr: c.addrs[id], Storage: c.storages[id]}
-}
-
-func (c *simulatedCore) plannerOf(n *raft.Node) *membershipPlanner {
-	if c.planners[n.ID()] == nil {
-		c.planners[n.ID()] = &membershipPlanner{self: c.member(n.ID()), formation: c.formation, tolerance: faultTolerance{machines: 1}, deadMemberTimeout: simDeadMemberTimeout, catchUpWindow: simElectionTimeout, leaveRequestTTL: simDeadMemberTimeout / 2, learnerExpiry: 4 * simCatchUpTime, failureDomainOf: func(raft.Member) string { return "" }}
-	}
-	return c.planners[n.ID()]
-}
-
-func (c *simulatedCore) proposeCommand(id uint64, done func()) {
-	if n := c.Nodes[id].Raft; n.Role() == raft.Leader && !c.plannerOf(n).takesChanges(n, c.Now) {
-		return
-	}
-	c.lastCommand++
-	x := c.lastCommand
-	c.Propose(id, binary.BigEndian.AppendUint64(nil, x), func(_ any, ok bool) {
-		if ok {
-			c.acknowledged = append(c.acknowledged, x)
-			if done != nil {
-				done()
-			}
-		}
-	})
-}
-
-// requireProgress waits until a change is acknowledged again.
-func (c *simulatedCore) requireProgress(within time.Duration, after string) {
-	c.t.Helper()
-	ok := false
-	for end := c.Now + within; !ok; {
-		if lead := c.Leader(); lead != nil {
-			c.proposeCommand(lead.ID, func() { ok = true })
-		}
-		c.runFor(20 * time.Millisecond)
-		if c.Now > end {
-			for _, id := range c.IDs() {
-				n := c.Nodes[id].Raft
-				c.t.Logf("%d up %v, %v of term %d for %d, last %d, %+v", id, c.IsUp(id), n.Role(), n.Term(), n.LeaderID(), n.LastIndex(), n.Membership())
-			}
-			c.t.Fatalf("seed %d: after %s nothing is acknowledged within %v", c.seed, after, within)
-		}
-	}
-}
-
-// shutDown ends a process gracefully: it asks to leave until it may, and ends then, or
-// after some time.
-func (c *simulatedCore) shutDown(id uint64) (letGo bool) {
-	for end := c.Now + 2*simCatchUpTime; c.Now < end && !letGo; {
-		if lead := c.Leader(); lead != nil && lead.ID == id {
-			lead.Raft.TransferLeadership()
-		} else if lead != nil {
-			letGo = c.plannerOf(lead.Raft).requestLeave(lead.Raft, c.Now, id)
-		}
-		c.runFor(20 * time.Millisecond)
-	}
-	c.Crash(id)
-	return letGo
-}
-
-func (c *simulatedCore) anyRunning(but uint64) uint64 {
-	if lead := c.Leader(); lead != nil && lead.ID != but && c.Rand.Intn(2) == 0 {
-		return lead.ID
-	}
-	for {
-		ids := c.IDs()
-		if id := ids[c.Rand.Intn(len(ids))]; id != but && c.IsUp(id) {
-			return id
-		}
-	}
-}
-
 // TestSecondLossAfterRepair: over many seeds a machine of a group is lost, comes back as
 // it was, with an empty disk or as another machine, and the next one is lost as soon as
 // the tolerance allows; each time commands are soon acknowledged again, and none that was
@@ -413,14 +209,7 @@
 		}
 		c.requireProgress(simElectionTimeout, "the last repair")
 		c.runFor(simDeadMemberTimeout)
-		for _, x := range c.acknowledged {
-			if !c.Leader().StateMachine.(commandSet)[x] {
-				t.Fatalf("seed %d: %d was acknowledged and is lost", seed, x)
-			}
-		}
-		if c.Violation != "" {
-			t.Fatalf("seed %d: %s", seed, c.Violation)
-		}
+		c.requireNothingLost()
 	}
 }
 
