A relay tries the core nodes that dial it as a peer

Cause: the core announces itself to seeds that are no members. The former seeds are members for that long, though their processes are relays now.

Change: a core node dials the members that it counts on, so a relay that is dialled as a peer tries whoever dials. It is a hint as an announcement is: a node is followed only once it proves to be up to date.

Measured: TestPeerTellsRelay fails without the change (no call is forwarded in 20 s) and passes with it; go test of internal/discovery, internal/relay and internal/layering passed.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -28,6 +28,8 @@
 	// nodes are the members of the core as a node that was followed, or a referral, named them
 	// last, and announced those of the last announcement. Neither is ever modified, only replaced.
 	nodes, announced []transport.ControlNode
+	// suggested are internal addresses of nodes that may belong to the core, oldest first.
+	suggested []string
 }
 
 // NewLocator returns a locator that knows the seed nodes of the settings only. Its own location is
@@ -67,6 +69,30 @@
 	l.announced = nodes
 }
 
+// maxSuggested bounds the suggested addresses that are remembered.
+const maxSuggested = 8
+
+// Suggest takes the internal address of a node that may belong to the core. It is a candidate beside
+// all others. The newest ones are remembered.
+func (l *Locator) Suggest(addr string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if addr == "" || slices.Contains(l.suggested, addr) {
+		return
+	}
+	l.suggested = append(l.suggested, addr)
+	if excess := len(l.suggested) - maxSuggested; excess > 0 {
+		l.suggested = slices.Delete(l.suggested, 0, excess)
+	}
+}
+
+// suggestedAddrs returns the addresses that were suggested.
+func (l *Locator) suggestedAddrs() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.suggested)
+}
+
 // Nodes returns the members of the core, as far as they are known: those that a followed node
 // named or, before the first of these, those that were announced.
 func (l *Locator) Nodes() []transport.ControlNode {
@@ -113,7 +139,7 @@
 	for _, node := range slices.Concat(l.Nodes(), l.announcedNodes()) {
 		add(node)
 	}
-	for _, addr := range l.SeedAddrs() {
+	for _, addr := range slices.Concat(l.SeedAddrs(), l.suggestedAddrs()) {
 		add(transport.ControlNode{Addr: addr})
 	}
 	isOwnKnown := isKnown[l.ownAddr]
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"lichentray/internal/settings"
@@ -48,4 +49,16 @@
 	if got := locator.Candidates(""); len(got) != 6 || len(locator.Nodes()) != 4 || got[0] != "10.0.0.1:77" || got[1] != "10.0.0.2:77" || got[5] != "10.0.0.9:77" {
 		t.Errorf("with a later announcement: %v", got)
 	}
+	// A suggested address is a candidate once, however often it is suggested. The newest ones stay.
+	for i := range 2 * maxSuggested {
+		locator.Suggest(fmt.Sprintf("10.0.1.%d:77", i/2))
+		locator.Suggest("")
+	}
+	if got := locator.Candidates(""); len(got) != 6+maxSuggested || len(locator.Nodes()) != 4 {
+		t.Errorf("with suggestions: %v", got)
+	}
+	locator.Suggest("10.0.1.99:77")
+	if got := locator.Candidates(""); len(got) != 6+maxSuggested || !slices.Contains(got, "10.0.1.99:77") || slices.Contains(got, "10.0.1.0:77") {
+		t.Errorf("with one suggestion more: %v", got)
+	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -182,6 +182,11 @@
 		discovery.ReceiveAnnouncements(conn, r.timeouts.contact, r.learnCore, r.locator.Nodes)
 		return
 	}
+	if hello.Role == transport.RolePeer {
+		// A core node still counts on a member at this address, which had no disk or has lost it. It
+		// announces the core to none of its members.
+		r.locator.Suggest(hello.Addr)
+	}
 	r.referToCore(conn)
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -129,16 +129,7 @@
 	apiAddress := strings.TrimPrefix(api.URL, "http://")
 	startCore(t, core, internal, apiAddress, new(atomic.Bool))
 	for _, ip := range []string{told, isolated} {
-		set := controlplanetest.Settings(t, ip, "", control, internal, []string{isolated}, false)
-		sig := &daemon.Signals{Stop: make(chan struct{}), SettingsChanged: make(chan *settings.Settings)}
-		ended := make(chan error, 1)
-		go func() { ended <- relay.Run(set, slog.New(slog.NewTextHandler(io.Discard, nil)), sig) }()
-		t.Cleanup(func() {
-			close(sig.Stop)
-			if err := <-ended; err != nil {
-				t.Error(err)
-			}
-		})
+		startRelay(t, controlplanetest.Settings(t, ip, "", control, internal, []string{isolated}, false))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	announcer := discovery.NewAnnouncer(discovery.AnnouncerConfig{
@@ -159,18 +150,63 @@
 		<-ended
 	}()
 	for _, ip := range []string{told, isolated} {
-		status := 0
-		for end := time.Now().Add(20 * time.Second); status != 409 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-			r, err := http.Post(fmt.Sprintf("http://%s:%d/api/rpc?call=locks.begin&of=l", ip, control), "application/json", strings.NewReader("{}"))
-			if err == nil {
-				r.Body.Close()
-				status = r.StatusCode
-			}
+		eventually(t, ip+" forwards a call", func() bool { return callStatus(ip, control) == 409 })
+	}
+}
+
+// TestPeerTellsRelay guards against a relay that stays apart from the core for as long as the core counts
+// on a member at its address: its only seed is itself, and nobody announces the core to it. A core
+// node that dials the member is followed.
+func TestPeerTellsRelay(t *testing.T) {
+	const core, isolated = "127.0.0.31", "127.0.0.32"
+	control, internal := controlplanetest.FreePort(t, core, isolated), controlplanetest.FreePort(t, core, isolated)
+	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(409) }))
+	defer api.Close()
+	startCore(t, core, internal, strings.TrimPrefix(api.URL, "http://"), new(atomic.Bool))
+	startRelay(t, controlplanetest.Settings(t, isolated, "", control, internal, []string{isolated}, false))
+	peer := transport.Hello{Role: transport.RolePeer, Node: "core", ID: 1, Addr: fmt.Sprintf("%s:%d", core, internal)}
+	eventually(t, "the peer connects", func() bool {
+		conn, err := transport.Dial(t.Context(), fmt.Sprintf("%s:%d", isolated, internal), time.Second, peer)
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil
+	})
+	eventually(t, "a call is forwarded", func() bool { return callStatus(isolated, control) == 409 })
+}
+
+// startRelay runs a relay until the test ends.
+func startRelay(t *testing.T, set *settings.Settings) {
+	sig := &daemon.Signals{Stop: make(chan struct{}), SettingsChanged: make(chan *settings.Settings)}
+	ended := make(chan error, 1)
+	go func() { ended <- relay.Run(set, slog.New(slog.NewTextHandler(io.Discard, nil)), sig) }()
+	t.Cleanup(func() {
+		close(sig.Stop)
+		if err := <-ended; err != nil {
+			t.Error(err)
 		}
-		if status != 409 {
-			t.Errorf("%s never forwarded a call: %d", ip, status)
+	})
+}
+
+// callStatus makes a call at a relay and returns the status, or 0 without an answer.
+func callStatus(ip string, port int) int {
+	r, err := http.Post(fmt.Sprintf("http://%s:%d/api/rpc?call=locks.begin&of=l", ip, port), "application/json", strings.NewReader("{}"))
+	if err != nil {
+		return 0
+	}
+	r.Body.Close()
+	return r.StatusCode
+}
+
+// eventually waits until ok reports true, far longer than that takes.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
 		}
 	}
+	t.Fatal("never came: " + what)
 }
 
 // A watch ends at the core node when its caller leaves. One whose caller stays is answered, and the
