overload: account of what clients make a process hold

Nothing counted connections or bytes for a process, so that many requests which are legal one by one exceeded its memory or its descriptors.

It has no clock and does no input or output. Nothing uses it yet.

--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -22,7 +22,7 @@
 // layers lists the packages from the lowest layer to the highest. A package may import
 // only packages of lower layers. A new package has to be added to a layer.
 var layers = [][]string{
-	{"audit", "config", "eventlog", "loadbalance", "raft", "rollout"},
+	{"audit", "config", "eventlog", "loadbalance", "overload", "raft", "rollout"},
 	{"coordination", "raft/modelcheck", "raft/rafttest", "routing"},
 	{"registry"},
 	{"watchcache"},
@@ -36,7 +36,7 @@
 // corePackages do no input or output, read no clock and start no goroutines: time,
 // messages and random numbers are passed in as arguments, effects are returned.
 var corePackages = []string{
-	"audit", "coordination", "eventlog", "loadbalance", "raft", "raft/modelcheck",
+	"audit", "coordination", "eventlog", "loadbalance", "overload", "raft", "raft/modelcheck",
 	"raft/rafttest", "registry", "rollout", "watchcache",
 }
 
