--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,9 @@
 	DiskMB float64 `toml:"disk_mb"`
 }
 
+// MemoryBytes returns the maximum resident memory in bytes.
+func (l *Limits) MemoryBytes() int64 { return int64(l.MemoryMB * (1 << 20)) }
+
 // Bounds holds the parameters of the guarantees that a deployment must meet. Timeouts are derived
 // from them. Some are not used by any program; they are decoded so that all settings are
 // validated.
