proxy: bound what clients of the frontend make it hold

What callers saw: 700 clients with bodies of 256 KiB, all but the last bytes, ended a proxy by its memory (282 to 288 MiB of 96); 1100 connections without a complete head took 1000 descriptors of 800.

Cause: bufferBodyStream read up to 256 KiB a request for any number of requests, and nothing counted connections.

Change: the frontend's listener belongs to an api.Guard. A body is reserved as it arrives, also what is buffered of a streamed one, until that was sent on. A response is reserved as it is received from the endpoint, and until the client has read it. A connection gives way only before its request may have been passed on, or while its client does not read; it gets 503 with Retry-After where its body was being read. The limits of the configuration are as before.

--- a/cmd/lichentray-proxy/main.go
+++ b/cmd/lichentray-proxy/main.go
@@ -16,6 +16,7 @@
 	"lichentray/internal/metrics"
 	"lichentray/internal/proxy"
 	"lichentray/internal/settings"
+	"lichentray/overload"
 )
 
 func main() { os.Exit(daemon.Main("lichentray-proxy", "the proxy node", run)) }
@@ -37,15 +38,16 @@
 		return errors.New("listen_addresses: frontend or readiness missing, both are required by lichentray-proxy")
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * memoryLimitRatio * (1 << 20)))
+	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryBytes()) * memoryLimitRatio))
 	debug.SetGCPercent(gcPercent)
 	metricsRegistry := metrics.NewRegistry()
 	p := proxy.New(set, log, metricsRegistry)
+	guard := api.NewGuard(overload.Divide(set.Limits.MemoryBytes(), set.Limits.MaxOpenFiles), metricsRegistry)
 	readiness, err := api.Listen(set.Listen.Readiness, metricsRegistry)
 	if err != nil {
 		return fmt.Errorf("readiness: %w", err)
 	}
-	clients, err := api.Listen(set.Listen.Frontend, metricsRegistry)
+	clients, err := guard.Listen(set.Listen.Frontend, proxy.FrontendListener)
 	if err != nil {
 		return fmt.Errorf("frontend: %w", err)
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"lichentray/internal/api"
 	"lichentray/loadbalance"
 )
 
@@ -150,7 +151,8 @@
 		}
 		return outcome{phase: sent, err: err}
 	}
-	resp, err := readResponse(conn.reader, f.request.isHead, maxBufferedResponseBytes)
+	reserve := func(bytes int) { api.GuardedConn(f.request.ctx).ReserveResponse(bytes) }
+	resp, err := readResponse(conn.reader, f.request.isHead, maxBufferedResponseBytes, reserve)
 	if err != nil {
 		return outcome{phase: incompletePhase(resp, err), err: err}
 	}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -14,6 +14,7 @@
 	"lichentray/internal/api"
 	"lichentray/internal/settings"
 	"lichentray/internal/transport"
+	"lichentray/overload"
 )
 
 const (
@@ -22,6 +23,9 @@
 	minReadBufferBytes     = 4 << 10
 	maxReadBufferBytes     = 256 << 10
 	readBufferReserveBytes = 1 << 10
+	// usualHeaderBytes is the header limit for which connections are accounted when they are
+	// accepted.
+	usualHeaderBytes = 16 << 10
 	// bodyTimeoutFactor is the timeout for reading a body, as a multiple of that for a head.
 	bodyTimeoutFactor = 4
 	// idleTimeoutFactor is the idle timeout of client connections if the configuration sets none,
@@ -31,6 +35,14 @@
 	metricsContentType = "text/plain; version=0.0.4"
 )
 
+// FrontendListener is the configuration of the listener for clients. The read buffer is taken to be
+// as large as for the header limit of usual configurations.
+var FrontendListener = api.ListenerConfig{
+	Name:            overload.Frontend,
+	ConnectionBytes: api.ConnectionBytes(usualHeaderBytes + readBufferReserveBytes),
+	BoundsWrites:    true,
+}
+
 // Frontend serves client connections. A connection keeps the limits of the configuration that
 // was current when it was accepted.
 type Frontend struct {
@@ -137,6 +149,7 @@
 	f.mu.Lock()
 	f.connections[conn] = false
 	f.mu.Unlock()
+	api.AsGuarded(conn).SetConnectionBytes(api.ConnectionBytes(s.ReadBufferSize))
 	_ = s.ServeConn(conn) // a client's disconnect is not a fault of the proxy
 	f.mu.Lock()
 	delete(f.connections, conn)
@@ -145,6 +158,7 @@
 
 // trackState records whether a connection has an active request.
 func (f *Frontend) trackState(conn net.Conn, state fasthttp.ConnState) {
+	api.EndRequest(conn, state)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if _, ok := f.connections[conn]; ok {
@@ -209,6 +223,9 @@
 	return c
 }
 
+// Guarded returns the guarded connection, or nil if it is not guarded.
+func (c *clientConn) Guarded() *api.Conn { return api.AsGuarded(c.Conn) }
+
 // Read implements io.Reader.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lichentray/config"
+	"lichentray/internal/api"
 	"lichentray/internal/apierror"
 	"lichentray/routing"
 )
@@ -240,36 +240,51 @@
 	if maxBytes <= 0 {
 		maxBytes = unlimitedBodyBytes
 	}
+	conn := api.GuardedConn(q.ctx)
 	stream := &limitedBody{reader: q.ctx.RequestBodyStream(), remaining: int64(maxBytes)}
-	start, err := io.ReadAll(io.LimitReader(stream, maxBufferedRequestBytes+1))
+	start, reserved, err := api.ReadAtMost(conn, stream, q.streamSize, maxBufferedRequestBytes+1)
+	if errors.Is(err, errBodyTooLarge) {
+		return apierror.New(apierror.BodyTooLarge, "over %d bytes", int64(maxBytes))
+	}
 	if err != nil {
-		return bodyError(err, int64(maxBytes))
+		return api.BodyError(conn, err)
 	}
 	// If the client disconnects, the server library ends a body with a Content-Length as if it were
 	// complete.
 	if q.streamSize >= 0 && len(start) < min(q.streamSize, maxBufferedRequestBytes+1) {
 		return apierror.New(apierror.BadRequest, "%d bytes of a body of %d", len(start), q.streamSize)
 	}
+	if !conn.BeginProcessing() {
+		return apierror.New(apierror.Unavailable, "too much memory is held for clients")
+	}
 	if len(start) <= maxBufferedRequestBytes {
 		q.body = start
 		q.streamSize = len(start)
 		return nil
 	}
-	q.bodyStream = io.MultiReader(bytes.NewReader(start), stream)
+	q.bodyStream = io.MultiReader(&reservedReader{conn: conn, reserved: reserved, rest: start}, stream)
 	return nil
 }
 
-// bodyError converts an error of reading the body to the error for the client.
-func bodyError(err error, maxBytes int64) error {
-	var netErr net.Error
-	switch {
-	case errors.Is(err, errBodyTooLarge):
-		return apierror.New(apierror.BodyTooLarge, "over %d bytes", maxBytes)
-	case errors.As(err, &netErr) && netErr.Timeout():
-		return apierror.New(apierror.HeaderTimeout, "body")
-	default:
-		return apierror.New(apierror.BadRequest, "body")
+// reservedReader reads bytes that are reserved at a connection, and releases them when all of them
+// have been read.
+type reservedReader struct {
+	conn     *api.Conn
+	reserved int // bytes
+	rest     []byte
+}
+
+// Read implements io.Reader.
+func (r *reservedReader) Read(p []byte) (int, error) {
+	if len(r.rest) == 0 {
+		r.rest = nil
+		r.conn.Release(r.reserved)
+		r.reserved = 0
+		return 0, io.EOF
 	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
 }
 
 // errBodyTooLarge means that a body exceeds the limit of the configuration.
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lichentray/audit"
+	"lichentray/internal/api"
 )
 
 // relayResponse relays an endpoint's response to the client and releases the endpoint.
@@ -29,7 +30,7 @@
 	}
 	p.recordResponse(q, status)
 	q.service.releaseEndpoint(p, t.endpoint, true, o.latencyRatio)
-	p.setBody(out, resp.body, q.deadline)
+	p.setBody(q.ctx, resp.body, q.deadline)
 }
 
 // copyHeaders adds the headers that are relayed to the client to its response.
@@ -42,8 +43,10 @@
 }
 
 // setBody sets the body of a response to a client. A long body is paced.
-func (p *Proxy) setBody(out *fasthttp.Response, body []byte, deadline time.Time) {
+func (p *Proxy) setBody(ctx *fasthttp.RequestCtx, body []byte, deadline time.Time) {
+	out := &ctx.Response
 	if len(body) >= minPacedBytes && p.pacer.isEnabled() {
+		api.GuardedConn(ctx).BeginResponse(len(body))
 		out.SetBodyStream(&pacedReader{p.pacer, body, deadline}, len(body))
 		return
 	}
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -15,6 +15,10 @@
 	maxResponseHeaderBytes = 64 << 10
 	// maxChunkedBodyBytes is the maximum size of a chunked body, which is buffered completely.
 	maxChunkedBodyBytes = 1 << 20
+	// unreservedResponseBytes is how much of a body is read without reserving memory for it, and
+	// responseReservationBytes the least that is then reserved at a time for a chunked body.
+	unreservedResponseBytes  = 4 << 10
+	responseReservationBytes = 32 << 10
 	// maxChunkLineBytes is the maximum size of the lines before and after the data of a chunk.
 	maxChunkLineBytes = 1024
 	// minStatusLineLength is the length of the shortest status line, "HTTP/1.1 200".
@@ -119,22 +123,26 @@
 	isHead bool
 	// maxBufferedBytes is the maximum Content-Length of a body that is read.
 	maxBufferedBytes int
+	// reserve is called with the size of each part of a body before it is read.
+	reserve func(bytes int)
 	// headerBytesLeft is the number of bytes by which the current head may still grow.
 	headerBytesLeft int
 	isChunked       bool
 }
 
 // readResponse reads a response's head, and its body if that is chunked or not longer than
-// maxBufferedBytes bytes. A longer body is left to be read from the response's stream.
+// maxBufferedBytes bytes. A longer body is left to be read from the response's stream. It calls
+// reserve with the number of bytes of a body that it is about to read.
 //
 // If it returns both a response and an error, the response's head is complete. The error is
 // errInvalidResponse or an error of the connection.
-func readResponse(in *bufio.Reader, isHead bool, maxBufferedBytes int) (*response, error) {
+func readResponse(in *bufio.Reader, isHead bool, maxBufferedBytes int, reserve func(bytes int)) (*response, error) {
 	r := responseReader{
 		in:               in,
 		response:         &response{contentLength: -1},
 		isHead:           isHead,
 		maxBufferedBytes: maxBufferedBytes,
+		reserve:          reserve,
 	}
 	for r.state != responseComplete {
 		state := r.state
@@ -158,11 +166,14 @@
 	case choosingFraming:
 		err = r.chooseFraming()
 	case readingFixedBody:
+		if r.response.contentLength > unreservedResponseBytes {
+			r.reserve(int(r.response.contentLength))
+		}
 		r.response.body = make([]byte, r.response.contentLength)
 		_, err = io.ReadFull(r.in, r.response.body)
 		r.state = responseComplete
 	case readingChunkedBody:
-		r.response.body, err = readChunkedBody(r.in, maxChunkedBodyBytes)
+		r.response.body, err = readChunkedBody(r.in, maxChunkedBodyBytes, r.reserve)
 		r.state = responseComplete
 	}
 	return err
@@ -333,9 +344,11 @@
 	return line, nil
 }
 
-// readChunkedBody reads a chunked body of at most maxBytes bytes, and discards its trailers.
-func readChunkedBody(in *bufio.Reader, maxBytes int) ([]byte, error) {
+// readChunkedBody reads a chunked body of at most maxBytes bytes, and discards its trailers. It calls
+// reserve before it reads a chunk.
+func readChunkedBody(in *bufio.Reader, maxBytes int, reserve func(bytes int)) ([]byte, error) {
 	var body []byte
+	reserved := unreservedResponseBytes
 	for {
 		bytesLeft := maxChunkLineBytes
 		size, err := readChunkSize(in, &bytesLeft)
@@ -348,6 +361,11 @@
 		if len(body)+size > maxBytes {
 			return nil, fmt.Errorf("%w: chunked body of over %d bytes", errInvalidResponse, maxBytes)
 		}
+		if missing := len(body) + size - reserved; missing > 0 {
+			missing = max(missing, responseReservationBytes)
+			reserve(missing)
+			reserved += missing
+		}
 		offset := len(body)
 		body = append(body, make([]byte, size)...)
 		if _, err := io.ReadFull(in, body[offset:]); err != nil {
