lichentray-proxy: the readiness check answers beside a crowd

What callers saw: beside 1100 connections that send nothing, the readiness check answered nobody for a minute, so that the platform would have taken the node out.

Cause: the listener held any number of connections, without a limit on time, until the process had no descriptors.

Change: the listener belongs to the guard of the process and has descriptors of its own; the longest idle connection gives way to a newcomer.

Measured: `go test ./tests/crowd -run TestReadinessCrowd` failed before and passes (63 descriptors).

--- a/cmd/lichentray-proxy/main.go
+++ b/cmd/lichentray-proxy/main.go
@@ -43,7 +43,7 @@
 	metricsRegistry := metrics.NewRegistry()
 	p := proxy.New(set, log, metricsRegistry)
 	guard := api.NewGuard(overload.Divide(set.Limits.MemoryBytes(), set.Limits.MaxOpenFiles), metricsRegistry)
-	readiness, err := api.Listen(set.Listen.Readiness, metricsRegistry)
+	readiness, err := guard.Listen(set.Listen.Readiness, api.CallListener(overload.Readiness))
 	if err != nil {
 		return fmt.Errorf("readiness: %w", err)
 	}
@@ -54,7 +54,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	failed := make(chan error, 1)
-	go func() { failed <- api.NewServer(p.HandleReadiness, maxReadinessBodyBytes).Serve(readiness) }()
+	readinessServer := api.NewCallServer(p.HandleReadiness, api.ConstantLimit(maxReadinessBodyBytes))
+	go func() { failed <- readinessServer.Serve(readiness) }()
 	frontend := proxy.NewFrontend(p, clients)
 	go frontend.Run()
 	go p.ListAndWatch(ctx)
