controlplane, api: bound what callers of the API make a core node hold

What callers saw: 16 callers with 15 MiB of any call took a core node to 273 to 303 MiB of 96, 536 MiB if the text was complete and not valid, 300 with 3 MiB to 1236 MiB; beside 1100 connections that send nothing, or wait, nobody was answered for a minute.

Cause: the server buffered 16 MiB for each call before it looked at its name, had no timeouts and counted nothing; a configuration was decoded whatever its decoded form and the violations of its schema take.

Change: the listener belongs to the guard of the process. The limit of a body follows from the call: 512 KiB, or for a configuration 16 MiB and a fifth of what clients may hold. Before a configuration is decoded, config.DecodeBytes estimates the memory from one scan, and that is reserved: 503 if there is no room now, 413 if there never is. A large call reserves what executing it takes. The stored configuration is sent without a copy for each reader. A long poll gives way to a newcomer, and its watch ends with it.

It works since all that is kept for callers is reserved first, and the whole stays below a quarter of memory_mb.

--- a/cmd/lichentray-controlplane/main.go
+++ b/cmd/lichentray-controlplane/main.go
@@ -23,6 +23,7 @@
 	"lichentray/internal/metrics"
 	"lichentray/internal/relay"
 	"lichentray/internal/settings"
+	"lichentray/overload"
 )
 
 func main() { os.Exit(daemon.Main("lichentray-controlplane", "the control-plane node", run)) }
@@ -95,11 +96,8 @@
 	relayGCPercent   = 50
 )
 
-// Limits on the size of a request body.
-const (
-	maxCallBodyBytes      = 16 << 20
-	maxDirectoryBodyBytes = 64 << 10
-)
+// maxDirectoryBodyBytes limits the body of a look-up.
+const maxDirectoryBodyBytes = 64 << 10
 
 // errCoreHasDisks is returned by runCore on a machine without a disk if the core stores its log on
 // disks. The node should then run as a relay.
@@ -109,18 +107,19 @@
 // this node.
 func runCore(set *settings.Settings, log *slog.Logger, sig *daemon.Signals) error {
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(set.Limits.MemoryMB * memoryLimitRatio * (1 << 20)))
+	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryBytes()) * memoryLimitRatio))
 	debug.SetGCPercent(coreGCPercent)
 	if err := config.CompileSchema(); err != nil {
 		return err
 	}
 	metricsRegistry := metrics.NewRegistry()
+	guard := api.NewGuard(overload.Divide(set.Limits.MemoryBytes(), set.Limits.MaxOpenFiles), metricsRegistry)
 	node, err := controlplane.Start(set, log, metricsRegistry)
 	if err != nil {
 		return err
 	}
 	defer node.Close()
-	servers, err := serveNode(set, node, metricsRegistry)
+	servers, err := serveNode(set, node, guard, metricsRegistry)
 	if err != nil {
 		return err
 	}
@@ -155,9 +154,9 @@
 }
 
 // serveNode starts the HTTP servers for which the settings have an address.
-func serveNode(set *settings.Settings, node *controlplane.Node, metricsRegistry *metrics.Registry) (servers coreServers, err error) {
+func serveNode(set *settings.Settings, node *controlplane.Node, guard *api.Guard, metricsRegistry *metrics.Registry) (servers coreServers, err error) {
 	servers.failed = make(chan error, 2)
-	if servers.api, err = serveAPI(set, node, metricsRegistry, servers.failed); err != nil {
+	if servers.api, err = serveAPI(set, node, guard, metricsRegistry, servers.failed); err != nil {
 		return servers, err
 	}
 	if set.Listen.Directory != "" {
@@ -184,13 +183,13 @@
 func (n statusNode) Status() any { return n.Node.Status() }
 
 // serveAPI starts the server of the control plane's API.
-func serveAPI(set *settings.Settings, node *controlplane.Node, metricsRegistry *metrics.Registry, failed chan<- error) (*fasthttp.Server, error) {
+func serveAPI(set *settings.Settings, node *controlplane.Node, guard *api.Guard, metricsRegistry *metrics.Registry, failed chan<- error) (*fasthttp.Server, error) {
 	handler := api.NewHandler(statusNode{node}, metricsRegistry, set.Bounds.HistoryRetention.Duration())
-	listener, err := api.Listen(set.BindAddr(set.Listen.Control), metricsRegistry)
+	listener, err := guard.Listen(set.BindAddr(set.Listen.Control), api.CallListener(overload.ControlPlane))
 	if err != nil {
 		return nil, fmt.Errorf("control_plane: %w", err)
 	}
-	server := api.NewServer(handler.Serve, maxCallBodyBytes)
+	server := api.NewCallServer(handler.Serve, api.MaxBodyBytes)
 	serve(server, listener, failed)
 	return server, nil
 }
--- a/internal/api/caller.go
+++ b/internal/api/caller.go
@@ -20,5 +20,6 @@
 		return func() bool { return false } // the connection was closed
 	}
 	probe := transport.NewPeerProbe(rawConn)
-	return func() bool { return !probe.HasClosed() }
+	guarded := GuardedConn(ctx)
+	return func() bool { return !guarded.IsEvicted() && !probe.HasClosed() }
 }
--- a/internal/api/configuration.go
+++ b/internal/api/configuration.go
@@ -1,14 +1,16 @@
 package api
 
 import (
-	"bytes"
 	"encoding/json"
+
+	"lichentray/internal/apierror"
 )
 
 // replaceConfiguration stores a complete configuration.
 func (h *Handler) replaceConfiguration(c call) (any, error) {
-	// The node retains the text, but fasthttp reuses the buffer of the body.
-	return nil, h.node.ReplaceConfiguration(bytes.Clone(c.body))
+	conn := GuardedConn(c.ctx)
+	reserve := func(bytes int) (release func(), err error) { return reserveForCall(conn, bytes) }
+	return nil, h.node.ReplaceConfiguration(c.body, reserve)
 }
 
 // readConfiguration returns the newest configuration.
@@ -19,3 +21,14 @@
 	}
 	return json.RawMessage(text), nil
 }
+
+// reserveForCall reserves memory for executing a call, in bytes.
+func reserveForCall(conn *Conn, bytes int) (release func(), err error) {
+	if limit := conn.Limit(); limit > 0 && bytes > limit {
+		return nil, apierror.New(apierror.BodyTooLarge, "takes %d bytes of memory, of at most %d", bytes, limit)
+	}
+	if err := conn.Reserve(bytes); err != nil {
+		return nil, BodyError(conn, err)
+	}
+	return func() { conn.Release(bytes) }, nil
+}
--- a/internal/api/handler.go
+++ b/internal/api/handler.go
@@ -25,9 +25,11 @@
 	// Deregister removes an endpoint permanently.
 	Deregister(id string) error
 	// ReplaceConfiguration stores a complete configuration, encoded as JSON, unless a newer
-	// one is stored. The node retains text, so the caller must not modify it.
-	ReplaceConfiguration(text []byte) error
-	// Configuration returns the newest configuration, as the JSON text that was submitted.
+	// one is stored. The node retains text, so the caller must not modify it. Before it decodes
+	// text it reserves the memory that this takes.
+	ReplaceConfiguration(text []byte, reserve ReserveFunc) error
+	// Configuration returns the newest configuration, as the JSON text that was submitted. The
+	// caller must not modify it.
 	Configuration() ([]byte, error)
 	// Propose commits a command on a lock, a sequence or a cell and returns its result.
 	Propose(cmd registry.Command) (registry.Result, error)
@@ -54,6 +56,10 @@
 	Status() any
 }
 
+// ReserveFunc reserves memory, in bytes, until release is called. Errors have a kind, see
+// apierror.KindOf: Unavailable if there is no room now, BodyTooLarge if there never is.
+type ReserveFunc = func(bytes int) (release func(), err error)
+
 // Handler serves the HTTP API of the control plane. It is safe for concurrent use.
 type Handler struct {
 	node    Node
@@ -96,7 +102,8 @@
 		ctx.SetBody(body)
 	case json.RawMessage:
 		ctx.SetContentType("application/json")
-		ctx.SetBody(body)
+		ctx.Response.SetBodyRaw(body) // not copied, as the node keeps it in any case
+		ctx.SetUserValue(sharedBodyKey{}, true)
 	case nil:
 		ctx.SetContentType("application/json")
 		ctx.SetBodyString("{}")
--- a/internal/api/handler_test.go
+++ b/internal/api/handler_test.go
@@ -55,7 +55,7 @@
 	return n.err
 }
 
-func (n *fakeNode) ReplaceConfiguration(text []byte) error {
+func (n *fakeNode) ReplaceConfiguration(text []byte, _ ReserveFunc) error {
 	n.received = string(text)
 	return n.err
 }
--- a/internal/api/routes.go
+++ b/internal/api/routes.go
@@ -15,7 +15,7 @@
 	// name identifies the object of the call, such as an instance, a lock or a zone. It is
 	// empty if the request does not name one, see requireName.
 	name string
-	// body is the body of the request. It is valid until the handler returns.
+	// body is the body of the request. The server does not use its memory again.
 	body []byte
 }
 
@@ -27,9 +27,34 @@
 // "of" is the name of its object.
 const rpcPath = "/api/rpc"
 
+const (
+	// smallCallBytes limits the body of all calls but one. A cell's value of maxCellBytes takes up
+	// to six times as much in JSON.
+	smallCallBytes = 512 << 10
+	// maxConfigurationBytes limits a configuration, besides the memory of the process.
+	maxConfigurationBytes = 16 << 20
+	// callMemoryFactor is the memory that executing a call takes, as a multiple of its body: the
+	// decoded form, the command, its place in the log and in the buffers of connections.
+	callMemoryFactor = 4
+)
+
+// MaxBodyBytes returns the limit of a call's body, in bytes, as required by NewCallServer.
+func MaxBodyBytes(ctx *fasthttp.RequestCtx) int {
+	rpc := rpcCalls[string(ctx.QueryArgs().Peek("call"))]
+	if string(ctx.Path()) != rpcPath || rpc.maxBodyBytes == 0 {
+		return smallCallBytes
+	}
+	if limit := GuardedConn(ctx).Limit(); limit > 0 {
+		return min(rpc.maxBodyBytes, limit/(1+callMemoryFactor))
+	}
+	return rpc.maxBodyBytes
+}
+
 // rpcCall describes a call at rpcPath.
 type rpcCall struct {
 	handle callHandler
+	// maxBodyBytes limits the body; smallCallBytes if it is 0.
+	maxBodyBytes int
 	// requiresConnectedCaller is set for calls that are not executed once the caller has
 	// disconnected. Executing such a call late could contradict a newer call that the same caller
 	// has sent to another node since.
@@ -40,7 +65,7 @@
 var rpcCalls = map[string]rpcCall{
 	"instances.heartbeat":   {handle: (*Handler).heartbeatInstance},
 	"instances.deregister":  {handle: (*Handler).deregisterInstance},
-	"configuration.replace": {handle: (*Handler).replaceConfiguration},
+	"configuration.replace": {handle: (*Handler).replaceConfiguration, maxBodyBytes: maxConfigurationBytes},
 	"configuration.read":    {handle: (*Handler).readConfiguration},
 	"locks.begin":           {handle: (*Handler).acquireLock, requiresConnectedCaller: true},
 	"locks.heartbeat":       {handle: (*Handler).renewLock, requiresConnectedCaller: true},
@@ -101,7 +126,7 @@
 		if !ok {
 			continue
 		}
-		response, err := r.handle(h, call{ctx: ctx, name: name, body: ctx.PostBody()})
+		response, err := h.execute(r.handle, call{ctx: ctx, name: name, body: ctx.PostBody()})
 		return r.label, response, err
 	}
 	return unknownCallLabel, nil, apierror.New(apierror.NoRoute, "no call at %s", path)
@@ -132,10 +157,23 @@
 		return label, nil, errAbandoned
 	}
 	name := string(ctx.QueryArgs().Peek("of"))
-	response, err = rpc.handle(h, call{ctx: ctx, name: name, body: ctx.PostBody()})
+	response, err = h.execute(rpc.handle, call{ctx: ctx, name: name, body: ctx.PostBody()})
 	return label, response, err
 }
 
+// execute calls the handler of a call. It reserves the memory that executing a large call takes.
+func (h *Handler) execute(handle callHandler, c call) (response any, err error) {
+	if len(c.body) <= unreservedBodyBytes {
+		return handle(h, c)
+	}
+	release, err := reserveForCall(GuardedConn(c.ctx), callMemoryFactor*len(c.body))
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	return handle(h, c)
+}
+
 // readiness reports that the process serves calls. Whether the node is up to date is part of its
 // status.
 func (h *Handler) readiness(call) (any, error) { return nil, nil }
--- a/internal/api/watch.go
+++ b/internal/api/watch.go
@@ -36,7 +36,10 @@
 		return nil, err
 	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, h.maxWait)
+	conn := GuardedConn(c.ctx)
+	conn.BeginWaiting()
 	events, revision, err := h.node.Watch(coordination.GroupOf(c.name), after, wait, NewCallerCheck(c.ctx))
+	conn.BeginProcessing()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -39,8 +39,11 @@
 // ReplaceConfiguration validates a complete configuration and replaces the current one with it. A
 // version below the current one is acknowledged without effect if its content is the one accepted
 // for that version. The error is of kind InvalidConfiguration, Conflict if different content was
-// accepted for the version, Unavailable or UnknownOutcome.
-func (n *Node) ReplaceConfiguration(text []byte) error { return n.configs.replace(text) }
+// accepted for the version, Unavailable, UnknownOutcome, or an error of reserve. If reserve is not
+// nil, it reserves the memory that decoding the text takes.
+func (n *Node) ReplaceConfiguration(text []byte, reserve ReserveFunc) error {
+	return n.configs.replace(text, reserve)
+}
 
 // Configuration returns the newest configuration as it was submitted. The error is of kind
 // NotFound if there is none yet.
--- a/internal/controlplane/configuration_store.go
+++ b/internal/controlplane/configuration_store.go
@@ -8,6 +8,10 @@
 	"lichentray/registry"
 )
 
+// ReserveFunc reserves memory, in bytes, until release is called. Its errors are of type
+// *apierror.Error.
+type ReserveFunc = func(bytes int) (release func(), err error)
+
 // configurationStore replaces and returns the deployment's configuration.
 type configurationStore struct {
 	*environment
@@ -18,8 +22,8 @@
 }
 
 // replace stores a complete configuration, see Node.ReplaceConfiguration.
-func (s *configurationStore) replace(text []byte) error {
-	parsed, err := s.validate(text)
+func (s *configurationStore) replace(text []byte, reserve ReserveFunc) error {
+	parsed, err := s.validate(text, reserve)
 	if err != nil {
 		return err
 	}
@@ -45,7 +49,7 @@
 // validate parses and validates one configuration at a time: a configuration of 2000 routes takes
 // about ten megabytes, and under a burst of submissions the next one arrives before the first is
 // done. A caller that has waited for RequestTimeout is rejected so that it can try another node.
-func (s *configurationStore) validate(text []byte) (*config.Configuration, error) {
+func (s *configurationStore) validate(text []byte, reserve ReserveFunc) (*config.Configuration, error) {
 	timer := time.NewTimer(s.timing.RequestTimeout)
 	defer timer.Stop()
 	select {
@@ -55,6 +59,17 @@
 		s.metrics.configsDeferred.Inc()
 		return nil, apierror.New(apierror.Unavailable, "too many configurations at once")
 	}
+	size, err := config.DecodeBytes(text)
+	if err != nil {
+		return nil, apierror.New(apierror.InvalidConfiguration, "%v", err)
+	}
+	if reserve != nil {
+		release, err := reserve(size)
+		if err != nil {
+			return nil, err
+		}
+		defer release()
+	}
 	parsed, err := config.Parse(text)
 	if err != nil {
 		return nil, apierror.New(apierror.InvalidConfiguration, "%v", err)
--- a/internal/controlplane/diskless_seeds_test.go
+++ b/internal/controlplane/diskless_seeds_test.go
@@ -29,7 +29,7 @@
 		t.Run(fmt.Sprint(disklessSeeds, " seeds without a disk"), func(t *testing.T) {
 			cluster := newClusterWithDisklessSeeds(t, disklessSeeds)
 			eventually(t, "the configuration is acknowledged", func() bool {
-				return cluster.nodes[5].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5))) == nil
+				return cluster.nodes[5].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5)), nil) == nil
 			})
 			for _, node := range cluster.nodes {
 				node.Close()
--- a/internal/controlplane/membership_test.go
+++ b/internal/controlplane/membership_test.go
@@ -363,7 +363,7 @@
 	lost := (first + 1) % 3
 	cluster.nodes[lost].Close()
 	eventually(t, "a change is accepted", func() bool {
-		return cluster.nodes[3].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5))) == nil
+		return cluster.nodes[3].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5)), nil) == nil
 	})
 	cluster.start(first, false)
 	lostID := formatMemberID(cluster.nodes[lost].self.ID)
--- a/internal/controlplane/node_test.go
+++ b/internal/controlplane/node_test.go
@@ -29,13 +29,15 @@
 func TestClusterServesCallsAndRecovers(t *testing.T) {
 	cluster := newTestCluster(t, 3, nil)
 	nodes := cluster.nodes
-	eventually(t, "a configuration is accepted", func() bool { return nodes[0].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5))) == nil })
+	eventually(t, "a configuration is accepted", func() bool {
+		return nodes[0].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5)), nil) == nil
+	})
 
 	// An older version is acknowledged without effect; an invalid configuration is rejected.
-	if err := nodes[1].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 4))); err != nil {
+	if err := nodes[1].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 4)), nil); err != nil {
 		t.Errorf("ReplaceConfiguration(older version) = %v", err)
 	}
-	if err := nodes[2].ReplaceConfiguration([]byte(`{"config_version":9`)); apierror.KindOf(err) != apierror.InvalidConfiguration {
+	if err := nodes[2].ReplaceConfiguration([]byte(`{"config_version":9`), nil); apierror.KindOf(err) != apierror.InvalidConfiguration {
 		t.Errorf("ReplaceConfiguration(truncated) = %v, want kind InvalidConfiguration", err)
 	}
 	for i := range nodes {
@@ -66,7 +68,7 @@
 	if err := nodes[1].Heartbeat(e); err != nil {
 		t.Fatal(err)
 	}
-	if err := nodes[2].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 6))); err != nil {
+	if err := nodes[2].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 6)), nil); err != nil {
 		t.Fatal(err)
 	}
 	if err := nodes[2].Deregister("i-1"); err != nil {
@@ -237,7 +239,7 @@
 		fmt.Fprintf(&routes, `{"name":"r%d","route_type":"idempotent","match":{"path_prefix":"/p%d/"},"action":{"backend_service":"s","timeout_s":1,"max_attempts":2}},`, i, i*7919)
 	}
 	large := fmt.Sprintf(`{"config_version":9,"listeners":[{"hostname":"h","rules":[%s]}],"clusters":[{"name":"s","health_check_path":"/health"}]}`, strings.TrimSuffix(routes.String(), ","))
-	if err := node.ReplaceConfiguration([]byte(large)); err != nil {
+	if err := node.ReplaceConfiguration([]byte(large), nil); err != nil {
 		t.Fatal(err)
 	}
 	for i, c := range got {
@@ -283,9 +285,9 @@
 func TestConfigurationsAreValidatedOneAtATime(t *testing.T) {
 	cluster := newTestCluster(t, 1, nil)
 	node := cluster.nodes[0]
-	eventually(t, "a configuration is accepted", func() bool { return node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5))) == nil })
+	eventually(t, "a configuration is accepted", func() bool { return node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5)), nil) == nil })
 	node.configs.validationSlot <- struct{}{} // simulates a long validation
-	if err := node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 6))); apierror.KindOf(err) != apierror.Unavailable {
+	if err := node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 6)), nil); apierror.KindOf(err) != apierror.Unavailable {
 		t.Errorf("ReplaceConfiguration during another validation = %v, want kind Unavailable", err)
 	}
 	if got, err := node.Configuration(); err != nil || string(got) != fmt.Sprintf(configurationFormat, 5) {
@@ -295,9 +297,9 @@
 	done := make(chan error, 8)
 	for v := range 8 {
 		go func() {
-			err := node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 7+v)))
+			err := node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 7+v)), nil)
 			for apierror.KindOf(err) == apierror.Unavailable { // deferred on a slow machine
-				err = node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 7+v)))
+				err = node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 7+v)), nil)
 			}
 			done <- err
 		}()
@@ -320,7 +322,9 @@
 		s.RegionByZone, s.Zone = zones, fmt.Sprint("z", s.IPAddress[len(s.IPAddress)-1:])
 	})
 	nodes := cluster.nodes
-	eventually(t, "a configuration is accepted", func() bool { return nodes[0].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 1))) == nil })
+	eventually(t, "a configuration is accepted", func() bool {
+		return nodes[0].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 1)), nil) == nil
+	})
 	list := func(zone string) *transport.Response {
 		a, _ := nodes[0].watches.listOrWatch(&transport.Request{ID: 1, List: true, Packs: true, Zone: zone})
 		return a
@@ -385,7 +389,7 @@
 	})
 	nodes := cluster.nodes
 	config := `{"config_version":1,"listeners":[{"hostname":"h","rules":[]}],"clusters":[{"name":"s","health_check_path":"/health","cold_rate_s":6}]}`
-	eventually(t, "a configuration is accepted", func() bool { return nodes[0].ReplaceConfiguration([]byte(config)) == nil })
+	eventually(t, "a configuration is accepted", func() bool { return nodes[0].ReplaceConfiguration([]byte(config), nil) == nil })
 
 	// A proxy registers through its reports, starts to drain, and is removed once its lease
 	// has expired.
@@ -517,7 +521,7 @@
 	cluster := newTestCluster(t, 3, nil)
 	node := cluster.nodes[0]
 	stored := []byte(fmt.Sprintf(configurationFormat, 5))
-	eventually(t, "a configuration is accepted", func() bool { return node.ReplaceConfiguration(stored) == nil })
+	eventually(t, "a configuration is accepted", func() bool { return node.ReplaceConfiguration(stored, nil) == nil })
 	e := registry.Endpoint{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Capacity: 2, Sequence: 1}
 	for _, id := range []string{"i-1", "i-2"} {
 		e.ID = id
@@ -549,8 +553,8 @@
 		"new drain":                    heartbeat("i-1", true),
 		"new endpoint":                 heartbeat("i-3", false),
 		"Deregister":                   node.Deregister("i-1"),
-		"higher configuration":         node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 6))),
-		"lower, unknown configuration": node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 4))),
+		"higher configuration":         node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 6)), nil),
+		"lower, unknown configuration": node.ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 4)), nil),
 	} {
 		if apierror.KindOf(err) != apierror.Unavailable {
 			t.Errorf("%s: error %v, want kind Unavailable", what, err)
@@ -560,12 +564,12 @@
 		t.Errorf("list = %+v, want a failure; isUpToDate = %v, want false", a, node.consensus.isUpToDate())
 	}
 	// Requests for what is known to be committed succeed.
-	for what, err := range map[string]error{"stored configuration again": node.ReplaceConfiguration(stored), "acknowledged drain again": heartbeat("i-2", true)} {
+	for what, err := range map[string]error{"stored configuration again": node.ReplaceConfiguration(stored, nil), "acknowledged drain again": heartbeat("i-2", true)} {
 		if err != nil {
 			t.Errorf("%s: %v", what, err)
 		}
 	}
-	if err := node.ReplaceConfiguration(append(stored, ' ')); apierror.KindOf(err) != apierror.Conflict {
+	if err := node.ReplaceConfiguration(append(stored, ' '), nil); apierror.KindOf(err) != apierror.Conflict {
 		t.Errorf("other content under the stored version: error %v, want kind Conflict", err)
 	}
 	// After a restart without quorum contact the node must not be up to date.
@@ -576,7 +580,7 @@
 	}
 	// The restarted node does not know yet that the stored configuration is committed.
 	eventually(t, "the node has detected the loss of quorum contact", func() bool { return !node.proposer.waitToRetry(time.Now().Add(time.Hour)) })
-	if err := node.ReplaceConfiguration(stored); apierror.KindOf(err) != apierror.Unavailable {
+	if err := node.ReplaceConfiguration(stored, nil); apierror.KindOf(err) != apierror.Unavailable {
 		t.Errorf("stored configuration again, before any entry is known to be committed: error %v, want kind Unavailable", err)
 	}
 }
--- a/internal/controlplane/rollout_test.go
+++ b/internal/controlplane/rollout_test.go
@@ -86,7 +86,9 @@
 		s.Bounds.ConfigPropagation, s.Bounds.DrainPropagation = 1, 1
 	})
 	nodes := cluster.nodes
-	eventually(t, "configuration accepted", func() bool { return nodes[0].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5))) == nil })
+	eventually(t, "configuration accepted", func() bool {
+		return nodes[0].ReplaceConfiguration([]byte(fmt.Sprintf(configurationFormat, 5)), nil) == nil
+	})
 	if _, err := nodes[0].Rollout("s"); apierror.KindOf(err) != apierror.NotFound {
 		t.Errorf("Rollout before any order: error %v, want kind NotFound", err)
 	}
--- a/internal/controlplane/snapshot_test.go
+++ b/internal/controlplane/snapshot_test.go
@@ -183,7 +183,7 @@
 func TestUnreadableSnapshotAtStart(t *testing.T) {
 	cluster := newTestCluster(t, 3, nil)
 	eventually(t, "a configuration is accepted", func() bool {
-		return cluster.nodes[0].ReplaceConfiguration(fmt.Appendf(nil, configurationFormat, 5)) == nil
+		return cluster.nodes[0].ReplaceConfiguration(fmt.Appendf(nil, configurationFormat, 5), nil) == nil
 	})
 	old := cluster.nodes[2].self.ID
 	cluster.nodes[2].Close()
