relay: bound what callers make it hold

What callers saw: 16 callers with 15 MiB of any call took a relay to 270 MiB of 96; beside 1100 connections that send nothing it answered nobody for a minute.

Cause: the server buffered the whole body of a call that it then redirected, and nothing counted connections. The process had no memory limit of the runtime.

Change: the listener belongs to the guard of the process. A body is kept up to what is forwarded, 16 KiB; the rest of a longer one is read and discarded, so that the caller can read the redirection. The connections to the core are bounded by a share of max_open_files (relay.maxCoreConnections; 1000 as before where that allows it). A forwarded watch gives way to a newcomer.

--- a/cmd/lichentray-controlplane/main.go
+++ b/cmd/lichentray-controlplane/main.go
@@ -83,6 +83,7 @@
 // disk.
 func runRelay(set *settings.Settings, log *slog.Logger, sig *daemon.Signals) error {
 	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(float64(set.Limits.MemoryBytes()) * memoryLimitRatio))
 	debug.SetGCPercent(relayGCPercent)
 	return relay.Run(set, log, sig)
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -88,6 +88,7 @@
 			isTarget = true
 			r.log.Info("forwarding calls", "to", apiAddress)
 			target := &coreTarget{address: apiAddress, calls: r.newCoreClient(apiAddress)}
+			target.watches.limit = r.maxCoreConnections / 2
 			defer target.close()
 			r.target.Store(target)
 		}
@@ -98,13 +99,8 @@
 	return isTarget
 }
 
-const (
-	// maxCoreConnections bounds the connections to a core node, and thereby the calls in flight.
-	maxCoreConnections = 1000
-	// maxWatches is how many of these connections watches may use. Watches are long-lived and must
-	// not block other calls.
-	maxWatches = maxCoreConnections / 2
-)
+// maxCoreConnections is the limit of relay.maxCoreConnections on machines with many descriptors.
+const maxCoreConnections = 1000
 
 // maxCallAttempts bounds the attempts of one call. Each attempt after the first follows one on an
 // idle connection that the core node had closed.
@@ -115,7 +111,7 @@
 	return &fasthttp.HostClient{
 		Addr:                          address,
 		Dial:                          r.dialCore,
-		MaxConns:                      maxCoreConnections - maxWatches,
+		MaxConns:                      r.maxCoreConnections - r.maxCoreConnections/2,
 		ReadTimeout:                   r.timeouts.call,
 		MaxIdemponentCallAttempts:     maxCallAttempts,
 		RetryIfErr:                    retryIfUnsent,
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -25,6 +25,12 @@
 	case "/api/readiness":
 		return
 	}
+	isLarge, err := api.BufferStart(ctx, maxForwardedBytes, maxRequestBodyBytes)
+	if err != nil {
+		ctx.SetConnectionClose()
+		api.WriteError(ctx, err)
+		return
+	}
 	target := r.target.Load()
 	switch {
 	case target == nil:
@@ -33,7 +39,7 @@
 	case api.IsAbandoned(ctx):
 		r.abandoned.Inc()
 		api.WriteError(ctx, apierror.New(apierror.Unavailable, "the caller has left"))
-	case mustRedirect(ctx):
+	case isLarge || isLargeResponse(ctx):
 		ctx.Response.Header.Set("Location", "http://"+target.address+string(ctx.RequestURI()))
 		ctx.SetStatusCode(fasthttp.StatusTemporaryRedirect)
 		r.redirected.Inc()
@@ -42,9 +48,9 @@
 	}
 }
 
-// mustRedirect reports whether the call or its response is too large to be forwarded.
-func mustRedirect(ctx *fasthttp.RequestCtx) bool {
-	return len(ctx.PostBody()) > maxForwardedBytes || string(ctx.QueryArgs().Peek("call")) == "configuration.read"
+// isLargeResponse reports whether the response to a call is too large to be forwarded.
+func isLargeResponse(ctx *fasthttp.RequestCtx) bool {
+	return string(ctx.QueryArgs().Peek("call")) == "configuration.read"
 }
 
 // forward sends a call to a core node and returns its response to the caller. A call that may have
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,13 +22,15 @@
 	"lichentray/internal/metrics"
 	"lichentray/internal/settings"
 	"lichentray/internal/transport"
+	"lichentray/overload"
 )
 
 // ErrCoreDiskless is returned by Run when no core machine has a disk. The node should then
 // join the core instead of running a relay.
 var ErrCoreDiskless = errors.New("no core machine has a disk")
 
-// maxRequestBodyBytes bounds the body of a call, in bytes.
+// maxRequestBodyBytes bounds the body of a call, in bytes. What exceeds maxForwardedBytes is read, so
+// that the caller can read the redirection, and discarded.
 const maxRequestBodyBytes = 16 << 20
 
 // relay is the state of a running relay.
@@ -41,6 +43,10 @@
 	locator  *discovery.Locator
 	metrics  *metrics.Registry
 
+	// maxCoreConnections bounds the connections to a core node, and thereby the calls in flight.
+	// Watches may use half of them, as they are long-lived and must not block other calls.
+	maxCoreConnections int
+
 	// target is the core node that is followed, or nil if none is up to date.
 	target atomic.Pointer[coreTarget]
 	// coreDiskless is closed when a core node reports that no core machine has a disk.
@@ -101,6 +107,7 @@
 		locator:              discovery.NewLocator(set),
 		metrics:              registry,
 		coreDiskless:         make(chan struct{}),
+		maxCoreConnections:   maxCoreConnections,
 		forwarded:            registry.Counter("relay_forwarded_total"),
 		redirected:           registry.Counter("relay_redirected_total"),
 		unavailable:          registry.Counter("relay_unavailable_total"),
@@ -121,7 +128,10 @@
 	r := newRelay(set, log)
 	var running sync.WaitGroup
 	defer running.Wait()
-	calls, err := api.Listen(set.BindAddr(set.Listen.Control), r.metrics)
+	limits := overload.Divide(set.Limits.MemoryBytes(), set.Limits.MaxOpenFiles)
+	guard := api.NewGuard(limits, r.metrics)
+	r.maxCoreConnections = min(maxCoreConnections, limits.Connections[overload.Upstream])
+	calls, err := guard.Listen(set.BindAddr(set.Listen.Control), api.CallListener(overload.ControlPlane))
 	if err != nil {
 		return err
 	}
@@ -136,7 +146,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 
-	server := api.NewServer(r.handle, maxRequestBodyBytes)
+	server := api.NewStreamServer(r.handle)
 	failed := make(chan error, 1)
 	running.Go(func() { r.acceptInternal(internal) })
 	running.Go(func() { r.followNearest(ctx) })
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	idle     []*watchConn
 	active   int // watches in progress
+	limit    int // maximum of active
 	isClosed bool
 }
 
@@ -46,7 +47,7 @@
 func (p *watchPool) begin() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.active >= maxWatches {
+	if p.active >= p.limit {
 		return false
 	}
 	p.active++
@@ -119,23 +120,26 @@
 		return fasthttp.ErrNoFreeConns
 	}
 	defer target.watches.end()
+	conn := api.GuardedConn(ctx)
+	conn.BeginWaiting()
+	defer conn.BeginProcessing()
 	deadline := time.Now().Add(r.timeouts.watch)
 	for {
-		conn := target.watches.get()
-		isNew := conn == nil
+		upstream := target.watches.get()
+		isNew := upstream == nil
 		if isNew {
 			raw, err := r.dialCore(target.address)
 			if err != nil {
 				return err
 			}
-			conn = newWatchConn(raw)
+			upstream = newWatchConn(raw)
 		}
-		err := r.exchangeWatch(ctx, conn, deadline)
+		err := r.exchangeWatch(ctx, upstream, deadline)
 		if err == nil && !ctx.Response.ConnectionClose() {
-			target.watches.put(conn)
+			target.watches.put(upstream)
 			return nil
 		}
-		conn.Close()
+		upstream.Close()
 		if isNew || !errors.Is(err, errStaleConnection) { // otherwise an idle connection was stale
 			return err
 		}
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -6,12 +6,12 @@
 	"github.com/valyala/fasthttp"
 )
 
-// TestWatchesAreBounded checks that at most maxWatches are forwarded at a time, that an excess
+// TestWatchesAreBounded checks that at most watchPool.limit are forwarded at a time, that an excess
 // watch is rejected as unsent before a connection is opened, and that another can start when one
 // has ended.
 func TestWatchesAreBounded(t *testing.T) {
-	target := &coreTarget{address: "127.0.0.1:1"}
-	for range maxWatches {
+	target := &coreTarget{address: "127.0.0.1:1", watches: watchPool{limit: maxCoreConnections / 2}}
+	for range maxCoreConnections / 2 {
 		if !target.watches.begin() {
 			t.Fatal("begin() = false within the limit, want true")
 		}
