lichentray-controlplane: the directory answers beside a crowd

What callers saw: beside 1100 connections that send nothing, the directory answered nobody for a minute.

Cause: as for the API, its listener held any number of connections without a limit on time.

Change: the listener belongs to the guard of the process; its server is that of the API, with a limit of 64 KiB for a body as before.

--- a/cmd/lichentray-controlplane/main.go
+++ b/cmd/lichentray-controlplane/main.go
@@ -161,7 +161,7 @@
 		return servers, err
 	}
 	if set.Listen.Directory != "" {
-		servers.directory, err = serveDirectory(set, node, metricsRegistry, servers.failed)
+		servers.directory, err = serveDirectory(set, node, guard, metricsRegistry, servers.failed)
 	}
 	return servers, err
 }
@@ -197,12 +197,12 @@
 
 // serveDirectory starts the server of the directory, which reads the node's replica of the
 // registry. On SIGTERM it is not shut down, but serves until the process exits.
-func serveDirectory(set *settings.Settings, node *controlplane.Node, metricsRegistry *metrics.Registry, failed chan<- error) (*fasthttp.Server, error) {
-	listener, err := api.Listen(set.Listen.Directory, metricsRegistry)
+func serveDirectory(set *settings.Settings, node *controlplane.Node, guard *api.Guard, metricsRegistry *metrics.Registry, failed chan<- error) (*fasthttp.Server, error) {
+	listener, err := guard.Listen(set.Listen.Directory, api.CallListener(overload.Directory))
 	if err != nil {
 		return nil, fmt.Errorf("directory: %w", err)
 	}
-	server := api.NewServer(api.NewDirectory(node, metricsRegistry).Serve, maxDirectoryBodyBytes)
+	server := api.NewCallServer(api.NewDirectory(node, metricsRegistry).Serve, api.ConstantLimit(maxDirectoryBodyBytes))
 	serve(server, listener, failed)
 	return server, nil
 }
