transport, controlplane, relay: bound what arrives before a hello

What callers saw: 64 connections to the internal port, each with the start of a frame of 30 MiB, took a core node to 278 MiB and a relay to 317 MiB of 96; 1100 connections that send nothing took 1000 descriptors of 800.

Cause: the first frame of a connection was read as any other, up to 32 MiB, before a hello told that a peer sends it, and nothing counted connections.

Change: a first frame is at most 64 KiB, also when decompressed. The listeners belong to the guard of the process; a connection without a hello gives way to a newcomer, one with a hello never does. SetTCPUserTimeout takes any socket, as connections are wrapped now.

--- a/cmd/lichentray-controlplane/main.go
+++ b/cmd/lichentray-controlplane/main.go
@@ -115,7 +115,7 @@
 	}
 	metricsRegistry := metrics.NewRegistry()
 	guard := api.NewGuard(overload.Divide(set.Limits.MemoryBytes(), set.Limits.MaxOpenFiles), metricsRegistry)
-	node, err := controlplane.Start(set, log, metricsRegistry)
+	node, err := controlplane.Start(set, log, metricsRegistry, guard)
 	if err != nil {
 		return err
 	}
--- a/internal/controlplane/cluster_test.go
+++ b/internal/controlplane/cluster_test.go
@@ -10,10 +10,12 @@
 	"testing"
 	"time"
 
+	"lichentray/internal/api"
 	"lichentray/internal/controlplanetest"
 	"lichentray/internal/metrics"
 	"lichentray/internal/settings"
 	"lichentray/internal/transport"
+	"lichentray/overload"
 	"lichentray/raft"
 	"lichentray/registry"
 	"lichentray/watchcache"
@@ -66,7 +68,7 @@
 	}
 	var err error
 	for range 100 { // the node that was closed may still hold the port
-		if c.nodes[i], err = Start(set, slog.New(slog.NewTextHandler(io.Discard, nil)), metrics.NewRegistry()); err == nil {
+		if c.nodes[i], err = startForTest(set); err == nil {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -153,3 +155,10 @@
 		}
 	}
 }
+
+// startForTest starts a node without logs.
+func startForTest(set *settings.Settings) (*Node, error) {
+	registry := metrics.NewRegistry()
+	guard := api.NewGuard(overload.Divide(set.Limits.MemoryBytes(), set.Limits.MaxOpenFiles), registry)
+	return Start(set, slog.New(slog.NewTextHandler(io.Discard, nil)), registry, guard)
+}
--- a/internal/controlplane/connection_server.go
+++ b/internal/controlplane/connection_server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 
+	"lichentray/internal/api"
 	"lichentray/internal/apierror"
 	"lichentray/internal/discovery"
 	"lichentray/internal/transport"
@@ -55,6 +56,7 @@
 		return
 	}
 	defer conn.Close()
+	api.AsGuarded(raw).BeginProcessing() // false if it was just closed, which the first read shows
 	switch hello.Role {
 	case transport.RolePeer:
 		s.servePeer(conn, hello)
--- a/internal/controlplane/discovery_test.go
+++ b/internal/controlplane/discovery_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"io"
-	"log/slog"
 	"os"
 	"testing"
 
 	"lichentray/internal/controlplanetest"
-	"lichentray/internal/metrics"
 	"lichentray/internal/settings"
 )
 
@@ -30,7 +27,7 @@
 	cluster := newTestCluster(t, 3, nil)
 	const deadSeedIP, joinerIP = "127.0.0.28", "127.0.0.29"
 	set := controlplanetest.Settings(t, joinerIP, t.TempDir(), cluster.controlPort, cluster.internalPort, []string{deadSeedIP}, false)
-	node, err := Start(set, slog.New(slog.NewTextHandler(io.Discard, nil)), metrics.NewRegistry())
+	node, err := startForTest(set)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/node_test.go
+++ b/internal/controlplane/node_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"net"
 	"os"
 	"reflect"
@@ -16,7 +14,6 @@
 	"lichentray/coordination"
 	"lichentray/internal/apierror"
 	"lichentray/internal/controlplanetest"
-	"lichentray/internal/metrics"
 	"lichentray/internal/settings"
 	"lichentray/internal/transport"
 	"lichentray/registry"
@@ -602,7 +599,7 @@
 	const relayIP, joinerIP = "127.0.0.28", "127.0.0.29"
 	controlplanetest.StartFakeRelay(t, fmt.Sprintf("%s:%d", relayIP, cluster.internalPort), transport.ControlNode{Addr: follower.self.Addr})
 	set := controlplanetest.Settings(t, joinerIP, t.TempDir(), cluster.controlPort, cluster.internalPort, []string{relayIP}, false)
-	node, err := Start(set, slog.New(slog.NewTextHandler(io.Discard, nil)), metrics.NewRegistry())
+	node, err := startForTest(set)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/controlplane/start.go
+++ b/internal/controlplane/start.go
@@ -6,9 +6,9 @@
 	"hash/fnv"
 	"log/slog"
 	"math/rand"
-	"net"
 	"time"
 
+	"lichentray/internal/api"
 	"lichentray/internal/discovery"
 	"lichentray/internal/metrics"
 	"lichentray/internal/settings"
@@ -19,10 +19,11 @@
 
 // Start opens the store and the internal port and runs a node. The caller must stop it with
 // Close. If the store cannot be opened, Start retries for some seconds; a store with unreadable
-// state is set aside, and the node joins the group as a new member.
-func Start(set *settings.Settings, logger *slog.Logger, metricsRegistry *metrics.Registry) (*Node, error) {
+// state is set aside, and the node joins the group as a new member. guard bounds the connections of
+// the internal port.
+func Start(set *settings.Settings, logger *slog.Logger, metricsRegistry *metrics.Registry, guard *api.Guard) (*Node, error) {
 	env := newEnvironment(set, logger, newNodeMetrics(metricsRegistry))
-	node, err := startNode(env)
+	node, err := startNode(env, guard)
 	if err != nil {
 		env.close()
 		return nil, err
@@ -44,7 +45,7 @@
 	}
 }
 
-func startNode(env *environment) (_ *Node, err error) {
+func startNode(env *environment, guard *api.Guard) (_ *Node, err error) {
 	state := newSharedState(env)
 	disk, err := openStore(env, state)
 	if err != nil {
@@ -64,7 +65,7 @@
 	}
 	node := newNode(env, state, disk.store)
 	loop := node.restore(disk.saved)
-	listener, err := net.Listen("tcp4", env.settings.BindAddr(env.self.Addr))
+	listener, err := guard.Listen(env.settings.BindAddr(env.self.Addr), api.InternalListener)
 	if err != nil {
 		return nil, fmt.Errorf("internal port: %w", err)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,7 +138,7 @@
 	defer calls.Close()
 	// A proxy on this machine connects here to detect that it shares the link with a relay.
 	// Processes whose seed nodes are all relays connect here to find the core.
-	internal, err := net.Listen("tcp4", set.BindAddr(r.ownAddr))
+	internal, err := guard.Listen(set.BindAddr(r.ownAddr), api.InternalListener)
 	if err != nil {
 		return err
 	}
@@ -187,6 +187,7 @@
 	if err != nil {
 		return
 	}
+	api.AsGuarded(raw).BeginProcessing() // false if it was just closed, which the first read shows
 	if hello.Role == transport.RoleAnnouncer {
 		discovery.ReceiveAnnouncements(conn, r.timeouts.contact, r.recordAnnouncement, r.locator.Nodes)
 		return
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -29,6 +29,8 @@
 
 	// maxWriteChunkBytes is how much data the kernel must accept within WriteTimeout.
 	maxWriteChunkBytes = 16 << 10
+	// maxHelloBytes bounds the first frame of an incoming connection, also when decompressed.
+	maxHelloBytes = 64 << 10
 	// readBufferBytes is the size of a read buffer, small as there are many connections.
 	readBufferBytes = 4096
 	// maxRetainedBufferBytes bounds the send buffer that is kept for the next frame. Only lists
@@ -55,6 +57,7 @@
 
 	// The following fields are used only by the goroutine that calls Receive.
 	reader        *bufio.Reader
+	maxFrameBytes int
 	decoder       *gob.Decoder // reads from receiveBuffer
 	receiveBuffer bytes.Buffer // body of a frame
 }
@@ -68,6 +71,8 @@
 		raw:          raw,
 		reader:       bufio.NewReaderSize(raw, readBufferBytes),
 		WriteTimeout: timeout,
+
+		maxFrameBytes: MaxFrameBytes,
 	}
 	c.encoder = gob.NewEncoder(&c.sendBuffer)
 	c.decoder = gob.NewDecoder(&c.receiveBuffer)
@@ -97,10 +102,12 @@
 // version. After an error the caller must close raw.
 func Accept(raw net.Conn, timeout time.Duration) (*Conn, Hello, error) {
 	c := NewConn(raw, timeout)
+	c.maxFrameBytes = maxHelloBytes
 	f, err := c.Receive(timeout)
 	if err != nil {
 		return nil, Hello{}, err
 	}
+	c.maxFrameBytes = MaxFrameBytes
 	if f.Hello == nil || f.Hello.Version != Version {
 		return nil, Hello{}, ErrHandshake
 	}
@@ -222,7 +229,7 @@
 	length := binary.BigEndian.Uint32(header[:])
 	isCompressed := length&compressedFlag != 0
 	length &^= compressedFlag
-	if length > MaxFrameBytes {
+	if int64(length) > int64(c.maxFrameBytes) {
 		return fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, length)
 	}
 	c.receiveBuffer.Reset()
@@ -239,12 +246,12 @@
 // decompress decompresses a body into receiveBuffer.
 func (c *Conn) decompress(body io.Reader) error {
 	decompressed := flate.NewReader(bufio.NewReader(body))
-	n, err := io.Copy(&c.receiveBuffer, io.LimitReader(decompressed, MaxFrameBytes+1))
+	n, err := io.Copy(&c.receiveBuffer, io.LimitReader(decompressed, int64(c.maxFrameBytes)+1))
 	if err != nil {
 		return fmt.Errorf("transport: decompress: %w", err)
 	}
-	if n > MaxFrameBytes {
-		return fmt.Errorf("%w: over %d bytes when decompressed", ErrFrameTooLarge, MaxFrameBytes)
+	if n > int64(c.maxFrameBytes) {
+		return fmt.Errorf("%w: over %d bytes when decompressed", ErrFrameTooLarge, c.maxFrameBytes)
 	}
 	return nil
 }
--- a/internal/transport/socket.go
+++ b/internal/transport/socket.go
@@ -16,11 +16,11 @@
 // only after minutes. It has no effect on other connections, or if the kernel does not support the
 // option.
 func SetTCPUserTimeout(raw net.Conn, timeout time.Duration) {
-	tcp, ok := raw.(*net.TCPConn)
+	socket, ok := raw.(syscall.Conn)
 	if !ok {
 		return
 	}
-	rawConn, err := tcp.SyscallConn()
+	rawConn, err := socket.SyscallConn()
 	if err != nil {
 		return
 	}
