soak: crowds of misbehaving clients meet random nodes under faults

One crowd after another, of up to 1000 connections, meets a node that is drawn from the seed, beside faults, restarts and changes: idle, heads without an end, bodies or chunks short of their end, trickling, complete, and readers of nothing. They stay open until the process is gone or the crowd's time is over. The limits of the settings, 96 MB and 800 descriptors of 1000, are invariants of every run.

The draws of the faults are as before, so seeds keep their faults.

--- a/tests/soak/cluster.go
+++ b/tests/soak/cluster.go
@@ -282,7 +282,7 @@
 	zone := k.deployment.zoneOf(slices.Index(allNodes(), n))
 	text := fmt.Sprintf(settingsTemplate, n.name, serves, n.name, n.bindIP, zone, internalPort, internalPort,
 		strings.Join(k.seeds, `","`), k.isFirstStart, n.hasDisk, data, k.deployment.zonesTable(), listen,
-		k.deployment.optionalBounds())
+		memoryMB, maxOpenFiles, k.deployment.optionalBounds())
 	// Replaces the file atomically, as a node may read it at any time.
 	if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
 		return "", err
@@ -290,6 +290,14 @@
 	return path, os.Rename(path+".new", path)
 }
 
+// Limits of each process in its settings. otherFiles of the descriptors are kept for files outside the
+// data directory.
+const (
+	memoryMB     = 96
+	maxOpenFiles = 1000
+	otherFiles   = 200
+)
+
 // settingsTemplate contains bounds for a small deployment.
 const settingsTemplate = `node_name = "%s"
 serves = [%s]
@@ -308,8 +316,8 @@
 [listen_addresses]
 %s
 [limits]
-memory_mb = 284
-max_open_files = 1000
+memory_mb = %d
+max_open_files = %d
 disk_mb = 0.5
 [fault_tolerance]
 machines = 1
--- a/tests/soak/doc.go
+++ b/tests/soak/doc.go
@@ -1,6 +1,7 @@
 // Package soak runs the built programs as processes on the loopback and injects overlapping faults
 // generated from a seed: kills, pauses, rolling restarts and repeated SIGHUPs, network partitions,
-// dropped responses, wiped disks and seed node changes, up to three at a time. Meanwhile clients,
+// dropped responses, wiped disks and seed node changes, up to three at a time. One crowd after another
+// of misbehaving clients meets a random node, and keeps its connections open. Meanwhile clients,
 // endpoints, an operator and applications generate load. Some endpoints deregister, and one of their
 // earlier heartbeats is delivered after that. Clients and lock holders keep their connections open until
 // the process is gone.
@@ -12,8 +13,8 @@
 // node (setting bind_ip), so that a node can be partitioned from the others while its process runs.
 //
 // Safety properties are checked throughout the run: see the methods of checks. After the last fault,
-// the deployment must recover fully within recoveryBound, and no process may have reported an
-// invariant violation.
+// the deployment must recover fully within recoveryBound. No process may have reported an invariant
+// violation, or exceeded the memory or the descriptors of its settings.
 //
 // By default the test runs a few short seeds. Longer runs:
 //
--- a/tests/soak/faults.go
+++ b/tests/soak/faults.go
@@ -63,6 +63,7 @@
 	ctx, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
 	var workers sync.WaitGroup
+	workers.Go(func() { f.runCrowds(ctx, seed) })
 	for worker := range maxConcurrentFaults {
 		random := rand.New(rand.NewSource(seed*maxConcurrentFaults + int64(worker)))
 		workers.Go(func() {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -87,6 +87,7 @@
 	w.workers.Go(func() {
 		for ctx.Err() == nil {
 			w.checkInvariants(ctx)
+			cluster.checkLimits()
 			pause(ctx, invariantCheckInterval)
 		}
 	})
@@ -98,6 +99,7 @@
 	}
 	checks.setUndisturbedSince(time.Now())
 	w.checkInvariants(ctx)
+	cluster.checkLimits()
 	w.checkAcknowledgedState(ctx)
 	pause(ctx, max(disconnectionBound, deregistrationBound+maxHeartbeatDelay)) // for the last disconnected clients and deregistered endpoints
 	cancel()
