--- a/internal/api/guard.go
+++ b/internal/api/guard.go
@@ -255,17 +255,18 @@
 
 // force reserves bytes that exist already.
 func (g *Guard) force(c *Conn, n int64) {
-	g.mu.Lock()
-	victims := g.evicted(g.account.Force(g.now(), c.holder, n))
-	g.reserved.Set(g.account.Reserved())
-	g.mu.Unlock()
-	disconnect(victims, reasonMemory)
+	g.disconnectFor(func(now time.Duration) []*overload.Holder { return g.account.Force(now, c.holder, n) })
 }
 
 // setBase changes what is kept for an idle connection.
 func (g *Guard) setBase(c *Conn, bytes int64) {
+	g.disconnectFor(func(now time.Duration) []*overload.Holder { return g.account.SetBase(now, c.holder, bytes) })
+}
+
+// disconnectFor makes a change to the account and ends the connections that it evicts.
+func (g *Guard) disconnectFor(change func(now time.Duration) (evicted []*overload.Holder)) {
 	g.mu.Lock()
-	victims := g.evicted(g.account.SetBase(g.now(), c.holder, bytes))
+	victims := g.evicted(change(g.now()))
 	g.reserved.Set(g.account.Reserved())
 	g.mu.Unlock()
 	disconnect(victims, reasonMemory)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -139,8 +139,7 @@
 	}
 }
 
-// discardLogger discards the log of fasthttp, which has a line for each broken connection. They
-// are counted instead.
+// discardLogger discards the log of fasthttp, which has a line for each broken connection.
 type discardLogger struct{}
 
 // Printf discards its arguments.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,7 +57,7 @@
 	// time bounds to apply to it. Most timeouts between machines are fractions of it.
 	ContactWindow Seconds `toml:"contact_s"`
 	// AckTimeout is the maximum time until an order is acknowledged while the control plane is
-	// undisturbed.
+	// undisturbed. A node gives each attempt at a call a part of it.
 	AckTimeout Seconds `toml:"ack_timeout_s"`
 	// CatchUpTime is how long a machine still counts as lost after it has returned.
 	CatchUpTime Seconds `toml:"catch_up_s"`
--- a/tests/soak/recovery.go
+++ b/tests/soak/recovery.go
@@ -77,8 +77,11 @@
 	}
 	for _, n := range proxyNodes {
 		status, _, err := w.get(ctx, n.address(readinessPort), "/api/readiness")
-		if err != nil || status != http.StatusOK {
-			return fmt.Errorf("%s: readiness status %d, %w", n.name, status, err)
+		if err != nil {
+			return fmt.Errorf("%s: readiness: %w", n.name, err)
+		}
+		if status != http.StatusOK {
+			return fmt.Errorf("%s: readiness status %d", n.name, status)
 		}
 		ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 		r, id := w.newRequest(ctx, n, http.MethodGet, "safe", requestTimeout)
