--- a/tests/rolling/history.go
+++ b/tests/rolling/history.go
@@ -29,10 +29,8 @@
 	mu       sync.Mutex
 	findings *findings
 
-	numbers       map[uint64]bool
-	maxNumber     uint64 // the highest allocated
-	fences        map[uint64]bool
-	maxFence      uint64            // the highest granted
+	numbers       issuedValues
+	fences        issuedValues
 	puts          map[uint64]put    // by revision; all puts of one group
 	cellRevisions map[string]uint64 // the highest acknowledged revision, by cell
 	maxRevision   uint64            // the highest acknowledged revision in the group
@@ -44,8 +42,8 @@
 func newHistory(f *findings) *history {
 	return &history{
 		findings:      f,
-		numbers:       map[uint64]bool{},
-		fences:        map[uint64]bool{},
+		numbers:       issuedValues{name: "number", verb: "allocated", seen: map[uint64]bool{}},
+		fences:        issuedValues{name: "fencing token", verb: "granted", seen: map[uint64]bool{}},
 		puts:          map[uint64]put{},
 		cellRevisions: map[string]uint64{},
 		rejected:      map[string]bool{},
@@ -53,32 +51,44 @@
 	}
 }
 
+// issuedValues holds the values of one kind that the control plane has issued.
+type issuedValues struct {
+	name, verb string // for findings
+	seen       map[uint64]bool
+	max        uint64
+}
+
+// add records an issued value; before was the highest when the call was sent.
+func (v *issuedValues) add(f *findings, before, value uint64) {
+	if value <= before {
+		f.addf("%s %d is not above %d, which was %s before the call", v.name, value, before, v.verb)
+	}
+	if v.seen[value] {
+		f.addf("%s %d was %s twice", v.name, value, v.verb)
+	}
+	v.seen[value] = true
+	v.max = max(v.max, value)
+}
+
 // highestNumber returns the highest number allocated so far.
 func (h *history) highestNumber() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.maxNumber
+	return h.numbers.max
 }
 
 // addNumber records an allocated number; before was the highest when the call was sent.
 func (h *history) addNumber(before, value uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if value <= before {
-		h.findings.addf("number %d is not above %d, which was allocated before the call", value, before)
-	}
-	if h.numbers[value] {
-		h.findings.addf("number %d was allocated twice", value)
-	}
-	h.numbers[value] = true
-	h.maxNumber = max(h.maxNumber, value)
+	h.numbers.add(h.findings, before, value)
 }
 
 // highestFence returns the highest fencing token granted so far.
 func (h *history) highestFence() uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.maxFence
+	return h.fences.max
 }
 
 // addFence records the fencing token of a new lock holder; before was the highest when
@@ -86,14 +96,7 @@
 func (h *history) addFence(before, fence uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if fence <= before {
-		h.findings.addf("fencing token %d is not above %d, which was granted before the call", fence, before)
-	}
-	if h.fences[fence] {
-		h.findings.addf("fencing token %d was granted twice", fence)
-	}
-	h.fences[fence] = true
-	h.maxFence = max(h.maxFence, fence)
+	h.fences.add(h.findings, before, fence)
 }
 
 // highestRevision returns the highest revision of the group so far.
--- a/tests/rolling/session.go
+++ b/tests/rolling/session.go
@@ -379,7 +379,7 @@
 	fmt.Printf("calls to the control plane: %d, retries: %d, longest until a conclusive response: %.2f s\n",
 		s.client.calls.Load(), s.client.retries.Load(), time.Duration(s.client.longestCall.Load()).Seconds())
 	fmt.Printf("numbers allocated: %d, highest %d; fencing tokens: %d, highest %d; puts: %d, highest revision %d; rejected: %d; distinct reads: %d\n",
-		len(h.numbers), h.maxNumber, len(h.fences), h.maxFence, len(h.puts), h.maxRevision, len(h.rejected), len(h.reads))
+		len(h.numbers.seen), h.numbers.max, len(h.fences.seen), h.fences.max, len(h.puts), h.maxRevision, len(h.rejected), len(h.reads))
 	fmt.Printf("configurations: %d, audit records: %d, lines \"snapshot installed\" in the logs: %d\n",
 		s.configVersion, len(s.lateRequests), s.cluster.countInLogs("snapshot installed"))
 }
