--- a/tests/crowd/controlplane_test.go
+++ b/tests/crowd/controlplane_test.go
@@ -50,6 +50,7 @@
 		{"complete and of many names", controlCrowd, member{start: post(heartbeat, invalid(`{"info":[`, `"n"`), byLength)}},
 		{"idle", idleCrowd, member{}},
 		{"heads without an end", idleCrowd, member{start: []byte("POST " + replace + " HTTP/1.1\r\nX-Filler: " + strings.Repeat("f", 15<<10))}},
+		{"long heads on connections that stay", idleCrowd, member{start: []byte("GET /api/readiness HTTP/1.1\r\nHost: n\r\nX-Filler: " + strings.Repeat("f", 15<<10) + "\r\n\r\n")}},
 		{"slow readers", idleCrowd, member{start: bytes.Repeat(post("/api/rpc?call=configuration.read", []byte("{}"), byLength), 4)}},
 		{"watches", idleCrowd, member{start: []byte("GET /api/watch/crowd.?after=1&wait_ms=20000 HTTP/1.1\r\nHost: n\r\n\r\n")}},
 		{"medium configurations short of their end", mediumCrowd, stoppingShort(post(replace, text[:mediumCallBytes], byLength))},
--- a/tests/crowd/frontend_test.go
+++ b/tests/crowd/frontend_test.go
@@ -38,6 +38,7 @@
 		{"complete in chunks", frontendCrowd, member{start: post("/held/hold", bytes.Repeat([]byte("b"), bufferedBodyBytes), byChunks)}},
 		{"streamed short of its end", frontendCrowd, stoppingShort(streamed)},
 		{"heads without an end", idleCrowd, member{start: []byte(longHead)}},
+		{"long heads on connections that stay", idleCrowd, member{start: []byte(longHead + "\r\n\r\n")}},
 		{"idle", idleCrowd, member{}},
 		{"slow readers", frontendCrowd, member{start: post("/held/large", nil, byLength)}},
 		{"pipelined slow readers", frontendCrowd, member{start: bytes.Repeat(post("/held/large", nil, byLength), 8)}},
