overload: requests in process leave room for connections

Found in reading the change again: requests that are being processed never give way, so they could reserve all of the bytes. Then each new connection was closed as it was accepted, also those of the readiness check, of peers and of proxies' streams.

Bodies, responses and decoded forms share three quarters of the bytes now; the rest is for connections. Connections to the readiness check and to the internal port never give way for memory, as the limits of their listeners bound them.

--- a/internal/api/guarded_conn.go
+++ b/internal/api/guarded_conn.go
@@ -181,7 +181,7 @@
 	if c == nil {
 		return 0
 	}
-	return int(c.guard.limits.Bytes - c.listener.config.ConnectionBytes)
+	return int(c.guard.limits.Reservable() - c.listener.config.ConnectionBytes)
 }
 
 // Reserve reserves n bytes, and waits a moment until there is room for them. It fails if the
--- a/overload/account.go
+++ b/overload/account.go
@@ -49,20 +49,20 @@
 	return h, append(evicted, a.makeRoom(now, h)...)
 }
 
-// Reserve reserves n more bytes for a connection if they fit. If they do not, it returns the
+// Reserve reserves n more bytes for a connection if they fit (Limits.Reservable). If not, it returns the
 // connections to evict; the caller tries again when one of them was closed. isRejected means that
 // the connection itself gives way.
 func (a *Account) Reserve(now time.Duration, h *Holder, n int64) (isReserved, isRejected bool, evicted []*Holder) {
 	switch {
-	case h.isClosed || h.isEvicted || h.bytes+n > a.limits.Bytes:
+	case h.isClosed || h.isEvicted || h.bytes+n > a.limits.Reservable():
 		return false, true, nil
-	case a.reserved+n <= a.limits.Bytes:
+	case a.reserved+n <= a.limits.Reservable():
 		a.reserved += n
 		h.setBytes(now, h.bytes+n)
 		return true, false, nil
 	}
-	for a.reserved-a.reclaiming+n > a.limits.Bytes {
-		victim := a.costliest(now, func(other *Holder) bool { return other != h })
+	for a.reserved-a.reclaiming+n > a.limits.Reservable() {
+		victim := a.costliest(now, func(other *Holder) bool { return other != h && !other.listener.isProtected() })
 		if victim == nil {
 			break // requests in process will release bytes
 		}
@@ -142,8 +142,8 @@
 // makeRoom evicts connections until the rest fits, and h last.
 func (a *Account) makeRoom(now time.Duration, h *Holder) (evicted []*Holder) {
 	for a.reserved-a.reclaiming > a.limits.Bytes {
-		victim := a.costliest(now, func(other *Holder) bool { return other != h })
-		if victim == nil && h.isEvictable() {
+		victim := a.costliest(now, func(other *Holder) bool { return other != h && !other.listener.isProtected() })
+		if victim == nil && h.isEvictable() && !h.listener.isProtected() {
 			victim = h
 		}
 		if victim == nil {
--- a/overload/limits.go
+++ b/overload/limits.go
@@ -14,7 +14,14 @@
 	Upstream Listener = "upstream"
 )
 
+// isProtected reports whether the connections of a listener never give way for memory. They are those
+// of the platform and of other nodes; they are few, as the listener's limit of connections bounds them.
+func (l Listener) isProtected() bool { return l == Readiness || l == Internal }
+
 const (
+	// connectionsDivisor is the part of the limit of bytes that is kept for connections: requests in
+	// process can reserve the rest, and then new connections are still accepted.
+	connectionsDivisor = 4
 	// clientMemoryDivisor is the part of a process's memory that clients may make it hold. The rest
 	// is for the state of the deployment and for the garbage of the heap.
 	clientMemoryDivisor = 4
@@ -64,6 +71,10 @@
 	Connections map[Listener]int
 }
 
+// Reservable returns the number of bytes up to which bytes can be reserved for a connection. The rest
+// is for connections.
+func (l Limits) Reservable() int64 { return l.Bytes - l.Bytes/connectionsDivisor }
+
 // Divide returns the limits of a process that may use memoryBytes bytes of memory and openFiles
 // descriptors.
 func Divide(memoryBytes int64, openFiles int) Limits {
