api: 413 for a call that can never fit, time for a large body

What callers saw: a configuration whose decoded form fits alone, but not beside its text and the copies of its proposal, was answered 503 for good, and its operator sent it again and again. The check compared the decoded form with the limit without what the call holds already. It counts that now (EverFits).

The body of a call had 30 s together with its head, less than the largest permitted configuration takes on a link of 2.6 Mbit/s; it has 2 minutes of its own.

Test: TestReservationForCall.

--- a/internal/api/configuration.go
+++ b/internal/api/configuration.go
@@ -24,8 +24,8 @@
 
 // reserveForCall reserves memory for executing a call, in bytes.
 func reserveForCall(conn *Conn, bytes int) (release func(), err error) {
-	if limit := conn.Limit(); limit > 0 && bytes > limit {
-		return nil, apierror.New(apierror.BodyTooLarge, "takes %d bytes of memory, of at most %d", bytes, limit)
+	if !conn.EverFits(bytes) {
+		return nil, apierror.New(apierror.BodyTooLarge, "takes %d bytes of memory, of at most %d in all", bytes, conn.Limit())
 	}
 	if err := conn.Reserve(bytes); err != nil {
 		return nil, BodyError(conn, err)
--- a/internal/api/guard.go
+++ b/internal/api/guard.go
@@ -253,6 +253,13 @@
 	}
 }
 
+// everFits reports whether n more bytes fit for a connection once nothing is reserved for others.
+func (g *Guard) everFits(c *Conn, n int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.holder.Bytes()+n <= g.limits.Reservable()
+}
+
 // force reserves bytes that exist already.
 func (g *Guard) force(c *Conn, n int64) {
 	g.disconnectFor(func(now time.Duration) []*overload.Holder { return g.account.Force(now, c.holder, n) })
--- a/internal/api/guard_test.go
+++ b/internal/api/guard_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lichentray/internal/apierror"
 	"lichentray/internal/metrics"
 	"lichentray/overload"
 )
@@ -196,3 +197,49 @@
 		t.Errorf("ReadAtMost() without a guard = %v", err)
 	}
 }
+
+// TestReservationForCall checks that a call which cannot be executed now is told so apart from one that
+// never can, as its caller repeats the first.
+func TestReservationForCall(t *testing.T) {
+	limits := overload.Limits{Bytes: 400 << 10} // of which 300 KiB can be reserved
+	guard := NewGuard(limits, metrics.NewRegistry())
+	listener, err := guard.Listen("127.0.0.1:0", CallListener(overload.ControlPlane))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	accept := func() *Conn {
+		client, err := net.Dial("tcp4", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		conn, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		AsGuarded(conn).BeginProcessing()
+		return AsGuarded(conn)
+	}
+	conn, other := accept(), accept()
+	if err := conn.Reserve(100 << 10); err != nil {
+		t.Fatal(err)
+	}
+	release, err := reserveForCall(other, 50<<10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reserveForCall(conn, 100<<10); apierror.KindOf(err) != apierror.Unavailable {
+		t.Errorf("beside another call: %v, want kind Unavailable", err)
+	}
+	release()
+	if release, err = reserveForCall(conn, 100<<10); err != nil {
+		t.Errorf("after the other call: %v", err)
+	} else {
+		release()
+	}
+	if _, err := reserveForCall(conn, 200<<10); apierror.KindOf(err) != apierror.BodyTooLarge {
+		t.Errorf("beyond what one call may take: %v, want kind BodyTooLarge", err)
+	}
+}
--- a/internal/api/guarded_conn.go
+++ b/internal/api/guarded_conn.go
@@ -184,6 +184,10 @@
 	return int(c.guard.limits.Reservable() - c.listener.config.ConnectionBytes)
 }
 
+// EverFits reports whether n bytes can be reserved besides those that are reserved for the connection
+// already, once other connections have released theirs.
+func (c *Conn) EverFits(n int) bool { return c == nil || c.guard.everFits(c, int64(n)) }
+
 // Reserve reserves n bytes, and waits a moment until there is room for them. It fails if the
 // connection was evicted or there is none.
 func (c *Conn) Reserve(n int) error {
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -32,8 +32,11 @@
 	// readBufferBytes is the size of the read buffer of a connection. It limits the size of a
 	// request's header.
 	readBufferBytes = 16 << 10
-	// requestTimeout is how long the head and the body of a call may take to arrive.
-	requestTimeout = 30 * time.Second
+	// headTimeout is how long the head of a call may take to arrive.
+	headTimeout = 30 * time.Second
+	// bodyTimeout is how long the body may take after that. The largest configuration takes a
+	// minute on a link of 2 Mbit/s.
+	bodyTimeout = 2 * time.Minute
 	// idleTimeout is how long a connection is kept without a call.
 	idleTimeout = 2 * time.Minute
 	// connectionOverheadBytes is the memory that a connection takes besides its read buffer: the
@@ -98,7 +101,10 @@
 func NewStreamServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	server := NewServer(handler, unreservedBodyBytes)
 	server.StreamRequestBody = true
-	server.ReadTimeout = requestTimeout
+	server.ReadTimeout = headTimeout
+	server.HeaderReceived = func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+		return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
+	}
 	server.IdleTimeout = idleTimeout
 	return server
 }
--- a/overload/holder.go
+++ b/overload/holder.go
@@ -37,6 +37,9 @@
 // IsEvicted reports whether the connection was chosen to give way.
 func (h *Holder) IsEvicted() bool { return h.isEvicted }
 
+// Bytes returns the number of bytes that are kept for the connection.
+func (h *Holder) Bytes() int64 { return h.bytes }
+
 // State returns what the connection is used for.
 func (h *Holder) State() State { return h.state }
 
